--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+LINT_VERSION := v2.15.0
+MODULES := . agent balancer bramley scenario standin
+PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
+PROGRAMS := $(foreach m,$(filter-out .,$(MODULES)),./$(m))
+
+.PHONY: build test lint format tools
+
+build:
+	go build -o bin/ $(PROGRAMS)
+
+test: build
+	go test -count=1 $(PACKAGES)
+
+tools: bin/golangci-lint-$(LINT_VERSION)
+
+# The linter is pinned by version and built outside the project's modules.
+bin/golangci-lint-$(LINT_VERSION):
+	GOBIN=$(CURDIR)/bin GOWORK=off go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	mv bin/golangci-lint $@
+
+format: tools
+	bin/golangci-lint-$(LINT_VERSION) fmt
+
+lint: tools
+	@files=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$files" || { echo "gofmt would change: $$files"; exit 1; }
+	go vet $(PACKAGES)
+	bin/golangci-lint-$(LINT_VERSION) run $(PACKAGES)
--- /dev/null
+++ b/agent/state.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"time"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/caller"
+	"bramleyfall.example/bramleyfall/configuration"
+	"bramleyfall.example/bramleyfall/peer"
+	"bramleyfall.example/bramleyfall/peer/peerpb"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// tick does what is due.
+func (d *decider) tick() {
+	now := d.server.clock.Now()
+	d.all(d.gate.Settle(now), now)
+	if now.After(d.nextSweep) {
+		d.nextSweep = now.Add(sweepEvery)
+		d.all(d.gate.Sweep(now), now)
+	}
+	d.announce()
+	d.send(d.announcer.Tick(now))
+	d.server.flows.Store(int64(d.gate.Flows()))
+	d.server.busy.Store(int64(d.gate.Busy()))
+}
+
+// all carries out actions that no packet in d.message belongs to.
+func (d *decider) all(actions []bramleyfall.Action, now time.Time) {
+	d.message.Packet.Kind = bramleyfall.KindData
+	for _, a := range actions {
+		d.act(a, now)
+	}
+}
+
+// announce tells the balancers the state of the upstream.
+func (d *decider) announce() {
+	state := bramleyfall.MemberDraining
+	switch d.gate.State() {
+	case caller.UpstreamWarming, caller.UpstreamServing:
+		state = bramleyfall.MemberServing
+	}
+	if d.leaving {
+		state = bramleyfall.MemberDraining
+	}
+	d.announcer.Announce(state, d.gate.Boot())
+	d.announcer.SetLoad(d.gate.Flows(), d.gate.Busy())
+	d.server.serving.Store(state == bramleyfall.MemberServing)
+	if s := d.gate.State(); s != d.lastState {
+		d.lastState = s
+		d.server.telemetry.Log.Info().Str("Event", "Upstream").Str("State", string(s)).
+			Uint64("Boot", uint64(d.gate.Boot())).Int("Flows", d.gate.Flows()).Msg("")
+	}
+}
+
+func (d *decider) send(out []peer.Outgoing) {
+	for _, o := range out {
+		body, err := proto.Marshal(o.Datagram)
+		if err != nil {
+			continue
+		}
+		sealed := d.server.config.Keys.Seal(peer.PurposeDatagram, body)
+		d.counts.sent.Add(len(sealed))
+		_ = d.server.control.WriteTo(sealed, o.To)
+	}
+}
+
+// control takes a datagram of a balancer.
+func (d *decider) control(datagram *peerpb.Datagram) {
+	now := d.server.clock.Now()
+	if d.announcer.Superseded(datagram) && !d.superseded {
+		d.superseded = true
+		d.server.telemetry.Log.Error().Str("Event", "Superseded").
+			Str("Reason", "a newer instance announces itself under the same id; this one takes no new flows").Msg("")
+		d.startDrain()
+	}
+	d.send(d.announcer.Receive(datagram, now))
+	d.configure(now)
+}
+
+// configure applies the configuration that the announcer holds.
+func (d *decider) configure(now time.Time) {
+	state := d.announcer.State()
+	if state.Newest() == d.applied {
+		return
+	}
+	d.applied = state.Newest()
+	var allowed []bramleyfall.Service
+	for _, s := range state.Services() {
+		if configuration.Allows(&s, d.server.config.ID) {
+			allowed = append(allowed, s)
+		}
+	}
+	d.gate.SetServices(allowed)
+	d.all(d.gate.SetDomain(state.DomainState(d.server.config.Domain)), now)
+	d.drainAsAsked(now)
+	d.server.telemetry.Log.Info().Str("Event", "Configured").Uint64("Revision", uint64(d.announcer.Revision())).
+		Int("Services", len(allowed)).Str("Domain", string(state.DomainState(d.server.config.Domain))).Msg("")
+}
+
+// drainAsAsked drains while the operators, the upstream or a signal ask for it.
+func (d *decider) drainAsAsked(now time.Time) {
+	asked := d.leaving || d.asksDrain || d.announcer.State().Drained(d.server.config.ID)
+	d.gate.SetDraining(asked, now)
+}
+
+func (d *decider) startDrain() {
+	d.leaving = true
+	d.drainAsAsked(d.server.clock.Now())
+}
+
+func (d *decider) leave() { d.send(d.announcer.Leave(d.server.clock.Now())) }
+
+// upstreamAnswers takes what the upstream says of itself.
+func (d *decider) upstreamAnswers(h health) {
+	now := d.server.clock.Now()
+	d.all(d.gate.UpstreamStarted(h.Boot, time.Unix(0, int64(h.Boot)), now), now)
+	d.asksDrain = h.Draining
+	d.drainAsAsked(now)
+}
+
+// upstreamSilent takes the upstream as gone: its health endpoint does not
+// answer.
+func (d *decider) upstreamSilent() { d.gate.UpstreamGone(d.server.clock.Now()) }
--- /dev/null
+++ b/bramley/shell.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/chzyer/readline"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/operator"
+)
+
+// shell reads statements from the terminal, with history and completion.
+func (c *client) shell() (bramleyfall.ResultCode, error) {
+	line, err := readline.NewEx(&readline.Config{
+		Prompt:       "bramley> ",
+		AutoComplete: completer(),
+	})
+	if err != nil {
+		return bramleyfall.BadSetting, err
+	}
+	defer line.Close()
+	code := bramleyfall.OK
+	for {
+		text, err := line.Readline()
+		if errors.Is(err, io.EOF) || errors.Is(err, readline.ErrInterrupt) {
+			return code, nil
+		}
+		if err != nil {
+			return code, err
+		}
+		switch text = strings.TrimSpace(text); text {
+		case "":
+		case "help":
+			fmt.Fprintln(c.out, operator.Grammar())
+		case "exit", "quit":
+			return code, nil
+		default:
+			if code, err = c.statement(text); err != nil {
+				fmt.Fprintln(c.err, err)
+			}
+		}
+	}
+}
+
+func completer() readline.AutoCompleter {
+	item := readline.PcItem
+	return readline.NewPrefixCompleter(
+		item("show", item("services"), item("upstreams", item("of")), item("domains"), item("instances"), item("revision"), item("change")),
+		item("explain", item("flow")),
+		item("create", item("service")),
+		item("add", item("address")),
+		item("remove", item("address")),
+		item("allow", item("upstream")),
+		item("forbid", item("upstream")),
+		item("drain", item("upstream")),
+		item("undrain", item("upstream")),
+		item("take", item("domain")),
+		item("return", item("domain")),
+		item("set"),
+		item("delete", item("service")),
+		item("help"),
+		item("exit"),
+	)
+}
--- /dev/null
+++ b/bramleyfall.go
@@ -0,0 +1,72 @@
+// Package bramleyfall is the root of a layer-4 load balancer whose balancers
+// keep no flow state: the agent beside each upstream owns the flows.
+//
+// The package holds the data types that all programs share and the interfaces
+// behind which behaviour varies. Implementations live in sibling packages that
+// are named after the peer or protocol they speak to. Decision code takes
+// events and times and returns actions; it opens no socket, starts no
+// goroutine and reads no wall clock.
+package bramleyfall
+
+import (
+	"context"
+	"time"
+)
+
+// Clock tells the time. Programs pass the system clock, tests and replays a
+// clock of their own.
+type Clock interface {
+	// Now returns the current time.
+	Now() time.Time
+}
+
+// ClockFunc adapts a function to the Clock interface.
+type ClockFunc func() time.Time
+
+// Now returns the time that f returns.
+func (f ClockFunc) Now() time.Time { return f() }
+
+// SystemClock returns the clock of the machine.
+func SystemClock() Clock { return ClockFunc(time.Now) }
+
+// Router chooses the upstreams that a balancer offers a packet to.
+type Router interface {
+	// Route fills list with the hops for a packet of flow and returns OK, or
+	// the reason why there is none. Opening tells whether the packet opens the
+	// flow. Page selects the ranks that an earlier list did not hold.
+	Route(flow Flow, opening bool, page uint8, list *HopList) ResultCode
+}
+
+// Gate decides at an upstream what happens to a packet.
+type Gate interface {
+	// FromCaller decides on a packet that a balancer or another agent sent.
+	FromCaller(packet *Packet, list *HopList, now time.Time) Action
+	// FromUpstream decides on a packet that the upstream sent.
+	FromUpstream(packet *Packet, now time.Time) Action
+	// Sweep returns the resets and probes that are due at now.
+	Sweep(now time.Time) []Action
+}
+
+// Platform is the key-value service that keeps the configuration.
+type Platform interface {
+	// Range returns the pairs whose keys are in [from, to) and the revision of
+	// the store at which they were read.
+	Range(ctx context.Context, from, to string) ([]Pair, Revision, error)
+	// Commit runs txn atomically and tells whether its conditions held. The
+	// error ErrUnknownOutcome means that the write may have taken effect.
+	Commit(ctx context.Context, txn Txn) (bool, error)
+	// Grant creates a lease that lapses unless it is kept alive.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive extends a lease and returns the time left on it. A zero
+	// duration means that the lease has lapsed.
+	KeepAlive(ctx context.Context, lease LeaseID) (time.Duration, error)
+	// Watch calls notify for each change under prefix until ctx ends or the
+	// stream breaks.
+	Watch(ctx context.Context, prefix string, notify func(Pair)) error
+}
+
+// Recorder keeps a trace of inputs and decisions for a later replay.
+type Recorder interface {
+	// Record appends one event. It never blocks the caller.
+	Record(event TraceEvent)
+}
--- /dev/null
+++ b/caller/gate.go
@@ -0,0 +1,307 @@
+// Package caller decides, beside an upstream, what happens to the packets of
+// its callers. A FlowGate owns the upstream's flows: it admits openings within
+// what the upstream can bear, delivers the packets of its own flows and passes
+// all others on.
+package caller
+
+import (
+	"slices"
+	"time"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/chart"
+)
+
+// Config holds the settings of a FlowGate.
+type Config struct {
+	// Upstream is the key that hop lists name the upstream by.
+	Upstream bramleyfall.InstanceKey
+	// Slots is the number of requests that the upstream runs at once.
+	Slots int
+	// Connections is the number of flows that the upstream holds at once.
+	Connections int
+	// WarmUp is the time to full share where a service sets none.
+	WarmUp time.Duration
+	// SilentAfter is the time until a silent end is given up where a service
+	// sets none.
+	SilentAfter time.Duration
+	// RetryAfter is what a refused caller is told.
+	RetryAfter time.Duration
+	// Adoption is how long a started agent looks for flows of a running
+	// upstream.
+	Adoption time.Duration
+	// ShareFactor is the ratio to the mean load of the peers above which an
+	// opening is passed on.
+	ShareFactor float64
+}
+
+// DefaultConfig returns the settings used where options set no others.
+func DefaultConfig() Config {
+	return Config{
+		Slots:       5,
+		Connections: 2000,
+		WarmUp:      20 * time.Second,
+		SilentAfter: 15 * time.Second,
+		RetryAfter:  time.Second,
+		Adoption:    time.Minute,
+		ShareFactor: 1.05,
+	}
+}
+
+// Option sets an option of a FlowGate.
+type Option func(*Config)
+
+// WithUpstream sets the key that hop lists name the upstream by.
+func WithUpstream(key bramleyfall.InstanceKey) Option {
+	return func(c *Config) { c.Upstream = key }
+}
+
+// WithCapacity sets the slots and the connections of the upstream.
+func WithCapacity(slots, connections int) Option {
+	return func(c *Config) { c.Slots, c.Connections = slots, connections }
+}
+
+// WithWarmUp sets the default time to full share.
+func WithWarmUp(d time.Duration) Option { return func(c *Config) { c.WarmUp = d } }
+
+// WithSilentAfter sets the default time until a silent end is given up.
+func WithSilentAfter(d time.Duration) Option { return func(c *Config) { c.SilentAfter = d } }
+
+// WithRetryAfter sets what a refused caller is told.
+func WithRetryAfter(d time.Duration) Option { return func(c *Config) { c.RetryAfter = d } }
+
+// WithAdoption sets how long flows of a running upstream are looked for.
+func WithAdoption(d time.Duration) Option { return func(c *Config) { c.Adoption = d } }
+
+// WithShareFactor sets the ratio to the mean above which openings are passed
+// on. Zero turns passing on for balance off.
+func WithShareFactor(f float64) Option { return func(c *Config) { c.ShareFactor = f } }
+
+// FlowGate is a Gate. It is not safe for concurrent use.
+type FlowGate struct {
+	config   Config
+	flows    map[bramleyfall.Flow]*flow
+	services serviceSet
+	chart    flowChart
+	upstream lifecycle
+	share    share
+	trials   trials
+	epoch    time.Time
+	domain   bramleyfall.DomainState
+	// busy counts flows that wait for an answer of the upstream.
+	busy int
+	// live counts flows that are not closed.
+	live int
+}
+
+var _ bramleyfall.Gate = (*FlowGate)(nil)
+
+// NewFlowGate returns a gate for an upstream that has not started yet. Its
+// times count from now. The error names a fault in a state chart.
+func NewFlowGate(now time.Time, options ...Option) (*FlowGate, error) {
+	config := DefaultConfig()
+	for _, o := range options {
+		o(&config)
+	}
+	flows, err := newFlowChart()
+	if err != nil {
+		return nil, err
+	}
+	states, err := newUpstreamChart()
+	if err != nil {
+		return nil, err
+	}
+	return &FlowGate{
+		config:   config,
+		flows:    make(map[bramleyfall.Flow]*flow),
+		chart:    flows,
+		upstream: newLifecycle(states),
+		share:    newShare(),
+		trials:   newTrials(),
+		epoch:    now,
+		domain:   bramleyfall.DomainIn,
+	}, nil
+}
+
+// flow is the state of one flow. Times are milliseconds since the epoch.
+type flow struct {
+	service      *service
+	lastCaller   uint32
+	lastUpstream uint32
+	lastHint     uint32
+	// upstreamStart is the sequence number of the upstream's SYN.
+	upstreamStart uint32
+	// nextCaller and nextUpstream are the sequence numbers that follow what
+	// each end has sent.
+	nextCaller   uint32
+	nextUpstream uint32
+	state        chart.ID
+	waiting      bool
+	// asked is set once the caller has sent payload.
+	asked bool
+}
+
+// service is a service that the upstream may serve, at one address.
+type service struct {
+	name        bramleyfall.ServiceName
+	class       bramleyfall.TrafficClass
+	warmUp      time.Duration
+	silentAfter time.Duration
+}
+
+type serviceAddress struct {
+	endpoint bramleyfall.Endpoint
+	protocol bramleyfall.Protocol
+}
+
+type serviceSet map[serviceAddress]*service
+
+// SetServices replaces the services that the upstream may serve. Flows of
+// other services keep their owner but get no further packet delivered.
+func (g *FlowGate) SetServices(services []bramleyfall.Service) {
+	g.services = make(serviceSet)
+	for i := range services {
+		s := &services[i]
+		for _, a := range s.Addresses {
+			g.services[serviceAddress{a.Endpoint, a.Protocol}] = &service{
+				name:        s.Name,
+				class:       a.Class,
+				warmUp:      orDefault(time.Duration(s.WarmUp), g.config.WarmUp),
+				silentAfter: orDefault(time.Duration(s.SilentAfter), g.config.SilentAfter),
+			}
+		}
+	}
+}
+
+func orDefault(value, fallback time.Duration) time.Duration {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+func (g *FlowGate) service(f bramleyfall.Flow) *service {
+	return g.services[serviceAddress{f.Destination, f.Protocol}]
+}
+
+// Flows returns the number of flows that are not closed.
+func (g *FlowGate) Flows() int { return g.live }
+
+// Busy returns the number of flows that wait for an answer of the upstream.
+func (g *FlowGate) Busy() int { return g.busy }
+
+// State returns the state of the upstream.
+func (g *FlowGate) State() UpstreamState { return g.upstream.name() }
+
+// Boot returns the boot id of the upstream, or zero while it is absent.
+func (g *FlowGate) Boot() bramleyfall.BootID { return g.upstream.boot }
+
+// FromCaller implements bramleyfall.Gate. It changes list when the action is
+// ActionPass.
+func (g *FlowGate) FromCaller(p *bramleyfall.Packet, list *bramleyfall.HopList, now time.Time) bramleyfall.Action {
+	g.share.learn(list, g.config.Upstream, now)
+	hop := list.Current()
+	if hop.Upstream != g.config.Upstream {
+		return drop(p, bramleyfall.WrongUpstream)
+	}
+	s := g.service(p.Flow)
+	if s == nil || s.name.Key() != list.Service {
+		return g.passOn(p, list, bramleyfall.WrongService)
+	}
+	if g.domain == bramleyfall.DomainOut {
+		return g.passOn(p, list, bramleyfall.NotRunDomainOut)
+	}
+	if hop.Boot != g.upstream.boot || g.upstream.boot == 0 {
+		return g.passOn(p, list, bramleyfall.WrongUpstream)
+	}
+	if f := g.flows[p.Flow]; f != nil {
+		return g.known(p, f, list, now)
+	}
+	if p.Kind == bramleyfall.KindOpening || p.Flow.Protocol == bramleyfall.UDP && !g.upstream.adopting(now) && list.Last() && !list.More {
+		return g.open(p, s, list, now)
+	}
+	if p.Kind != bramleyfall.KindReset && g.upstream.adopting(now) && p.Flow.Protocol == bramleyfall.TCP {
+		return g.try(p, list, now)
+	}
+	return g.passOn(p, list, bramleyfall.NoOwner)
+}
+
+func drop(p *bramleyfall.Packet, code bramleyfall.ResultCode) bramleyfall.Action {
+	return bramleyfall.Action{Kind: bramleyfall.ActionDrop, Code: code, Flow: p.Flow}
+}
+
+// passOn sends the packet to the next hop. From the last hop an opening is
+// refused and any other packet reset.
+func (g *FlowGate) passOn(p *bramleyfall.Packet, list *bramleyfall.HopList, code bramleyfall.ResultCode) bramleyfall.Action {
+	if p.Kind == bramleyfall.KindOpening {
+		return g.passOpening(p, list, code, fullLoad)
+	}
+	if !list.Last() {
+		list.Index++
+		return bramleyfall.Action{Kind: bramleyfall.ActionPass, Code: code, Flow: p.Flow}
+	}
+	if list.More {
+		return bramleyfall.Action{Kind: bramleyfall.ActionNextPage, Code: code, Flow: p.Flow}
+	}
+	if p.Kind == bramleyfall.KindReset || p.Flow.Protocol != bramleyfall.TCP {
+		return drop(p, bramleyfall.NoOwner)
+	}
+	return bramleyfall.Action{
+		Kind: bramleyfall.ActionReset, Code: code, Flow: p.Flow, ToCaller: answerReset(p),
+	}
+}
+
+// answerReset returns the reset that answers p (RFC 9293, section 3.10.7.1).
+func answerReset(p *bramleyfall.Packet) *bramleyfall.Segment {
+	s := &bramleyfall.Segment{Flow: p.Flow.Reverse(), Reset: true}
+	if p.HasAck {
+		s.Sequence = p.Ack
+		return s
+	}
+	s.HasAck = true
+	s.Ack = p.End()
+	return s
+}
+
+// millis returns now as stored in flows. It is never zero.
+func (g *FlowGate) millis(now time.Time) uint32 {
+	return uint32(now.Sub(g.epoch).Milliseconds()) + 1
+}
+
+func (g *FlowGate) fire(f *flow, event chart.ID) bool {
+	next, ok := g.chart.Fire(f.state, event)
+	if next == g.chart.closed && f.state != g.chart.closed {
+		g.live--
+		g.setWaiting(f, false)
+	}
+	f.state = next
+	return ok
+}
+
+func (g *FlowGate) setWaiting(f *flow, waiting bool) {
+	if f.waiting == waiting {
+		return
+	}
+	f.waiting = waiting
+	if waiting {
+		g.busy++
+		return
+	}
+	g.busy--
+}
+
+// sortedFlows returns the flows in a fixed order, so that a replay makes the
+// same actions.
+func (g *FlowGate) sortedFlows() []bramleyfall.Flow {
+	keys := make([]bramleyfall.Flow, 0, len(g.flows))
+	for k := range g.flows {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b bramleyfall.Flow) int {
+		if a.Hash() < b.Hash() {
+			return -1
+		}
+		return 1
+	})
+	return keys
+}
--- /dev/null
+++ b/operator/edit.go
@@ -0,0 +1,200 @@
+package operator
+
+import (
+	"encoding/json"
+	"path"
+	"slices"
+	"strings"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/configuration"
+	"bramleyfall.example/bramleyfall/platform"
+)
+
+func cut(text string) (address, protocol string, ok bool) { return strings.Cut(text, "/") }
+
+// Propose turns a command into a change. The error tells why the command can
+// never be accepted.
+func Propose(s *Statement) (platform.Proposal, error) {
+	switch {
+	case s.Create != nil:
+		return proposeCreate(s.Create)
+	case s.Add != nil:
+		return proposeAdd(s.Add)
+	case s.Remove != nil:
+		return proposeRemove(s.Remove)
+	case s.Allow != nil:
+		return proposePermit(s.Allow, true)
+	case s.Forbid != nil:
+		return proposePermit(s.Forbid, false)
+	case s.Drain != nil:
+		return proposeDrain(s.Drain.Value, true)
+	case s.Undrain != nil:
+		return proposeDrain(s.Undrain.Value, false)
+	case s.Take != nil:
+		return proposeDomain(s.Take.Value, bramleyfall.DomainOut)
+	case s.Return != nil:
+		return proposeDomain(s.Return.Value, bramleyfall.DomainIn)
+	case s.Set != nil:
+		return proposeSet(s.Set)
+	case s.Delete != nil:
+		return proposeDelete(s.Delete.Value)
+	}
+	return platform.Proposal{}, bramleyfall.Errorf(bramleyfall.BadStatement, "the statement is not a command")
+}
+
+// editService returns a proposal that edits an existing service.
+func editService(name string, edit func(*bramleyfall.Service) error) platform.Proposal {
+	return platform.Proposal{
+		Key: configuration.ServiceKey(bramleyfall.ServiceName(name)),
+		Edit: func(current json.RawMessage) (json.RawMessage, error) {
+			if current == nil {
+				return nil, bramleyfall.Errorf(bramleyfall.NoService, "there is no service %s", name)
+			}
+			var service bramleyfall.Service
+			if err := json.Unmarshal(current, &service); err != nil {
+				return nil, err
+			}
+			if err := edit(&service); err != nil {
+				return nil, err
+			}
+			return json.Marshal(service)
+		},
+	}
+}
+
+// setValue returns a proposal that writes a value whatever was there.
+func setValue(key string, value any) platform.Proposal {
+	return platform.Proposal{
+		Key:  key,
+		Edit: func(json.RawMessage) (json.RawMessage, error) { return json.Marshal(value) },
+	}
+}
+
+func serviceAddress(a *Address) (bramleyfall.ServiceAddress, error) {
+	endpoint, protocol, err := parseAddress(a.Address)
+	class := bramleyfall.TrafficClass(a.Class)
+	if class == "" {
+		class = bramleyfall.ClassOrders
+	}
+	return bramleyfall.ServiceAddress{Endpoint: endpoint, Protocol: protocol, Class: class}, err
+}
+
+func checkName(name string) error {
+	if strings.ContainsAny(name, "/*?[]\\") || len(name) > 64 {
+		return bramleyfall.Errorf(bramleyfall.BadStatement, "%q is not a name: up to 64 characters, none of / * ? [ ] \\", name)
+	}
+	return nil
+}
+
+func checkPattern(pattern string) error {
+	if _, err := path.Match(pattern, ""); err != nil {
+		return bramleyfall.Errorf(bramleyfall.BadStatement, "pattern %q: %v", pattern, err)
+	}
+	return nil
+}
+
+func proposeCreate(c *Create) (platform.Proposal, error) {
+	if err := checkName(c.Name); err != nil {
+		return platform.Proposal{}, err
+	}
+	address, err := serviceAddress(c.Address)
+	if err != nil {
+		return platform.Proposal{}, err
+	}
+	for _, pattern := range c.Allow {
+		if err := checkPattern(pattern); err != nil {
+			return platform.Proposal{}, err
+		}
+	}
+	service := bramleyfall.Service{
+		Name: bramleyfall.ServiceName(c.Name), Addresses: []bramleyfall.ServiceAddress{address}, Allowed: c.Allow,
+	}
+	return platform.Proposal{
+		Key: configuration.ServiceKey(service.Name),
+		Edit: func(current json.RawMessage) (json.RawMessage, error) {
+			if current != nil {
+				return nil, bramleyfall.Errorf(bramleyfall.NotAccepted, "service %s exists already", c.Name)
+			}
+			return json.Marshal(service)
+		},
+	}, nil
+}
+
+func proposeAdd(a *Add) (platform.Proposal, error) {
+	address, err := serviceAddress(a.Address)
+	return editService(a.Service, func(s *bramleyfall.Service) error {
+		if slices.ContainsFunc(s.Addresses, func(x bramleyfall.ServiceAddress) bool { return sameAddress(x, address) }) {
+			return bramleyfall.Errorf(bramleyfall.NotAccepted, "service %s has address %s already", s.Name, a.Address.Address)
+		}
+		s.Addresses = append(s.Addresses, address)
+		return nil
+	}), err
+}
+
+func sameAddress(a, b bramleyfall.ServiceAddress) bool {
+	return a.Endpoint == b.Endpoint && a.Protocol == b.Protocol
+}
+
+func proposeRemove(r *Remove) (platform.Proposal, error) {
+	endpoint, protocol, err := parseAddress(r.Address)
+	gone := bramleyfall.ServiceAddress{Endpoint: endpoint, Protocol: protocol}
+	return editService(r.Service, func(s *bramleyfall.Service) error {
+		before := len(s.Addresses)
+		s.Addresses = slices.DeleteFunc(s.Addresses, func(x bramleyfall.ServiceAddress) bool { return sameAddress(x, gone) })
+		if len(s.Addresses) == before {
+			return bramleyfall.Errorf(bramleyfall.NotAccepted, "service %s has no address %s", s.Name, r.Address)
+		}
+		return nil
+	}), err
+}
+
+func proposePermit(p *Permit, allow bool) (platform.Proposal, error) {
+	return editService(p.Service, func(s *bramleyfall.Service) error {
+		has := slices.Contains(s.Allowed, p.Pattern)
+		switch {
+		case allow && !has:
+			s.Allowed = append(s.Allowed, p.Pattern)
+		case !allow && !has:
+			return bramleyfall.Errorf(bramleyfall.NotAccepted, "service %s does not allow %q; it allows %s",
+				s.Name, p.Pattern, strings.Join(s.Allowed, ", "))
+		case !allow:
+			s.Allowed = slices.DeleteFunc(s.Allowed, func(x string) bool { return x == p.Pattern })
+		}
+		return nil
+	}), checkPattern(p.Pattern)
+}
+
+func proposeDrain(id string, drained bool) (platform.Proposal, error) {
+	order := bramleyfall.UpstreamOrder{ID: bramleyfall.UpstreamID(id), Drained: drained}
+	return setValue(configuration.UpstreamKey(order.ID), order), checkName(id)
+}
+
+func proposeDomain(name string, state bramleyfall.DomainState) (platform.Proposal, error) {
+	domain := bramleyfall.Domain{Name: bramleyfall.DomainName(name), State: state}
+	return setValue(configuration.DomainKey(domain.Name), domain), checkName(name)
+}
+
+func proposeSet(s *Set) (platform.Proposal, error) {
+	value, err := parseDuration(s.Value)
+	return editService(s.Service, func(service *bramleyfall.Service) error {
+		if s.Property == "WarmUp" {
+			service.WarmUp = value
+			return nil
+		}
+		service.SilentAfter = value
+		return nil
+	}), err
+}
+
+func proposeDelete(name string) (platform.Proposal, error) {
+	return platform.Proposal{
+		Key: configuration.ServiceKey(bramleyfall.ServiceName(name)),
+		Edit: func(current json.RawMessage) (json.RawMessage, error) {
+			if current == nil {
+				return nil, bramleyfall.Errorf(bramleyfall.NoService, "there is no service %s", name)
+			}
+			return nil, nil
+		},
+	}, nil
+}
--- /dev/null
+++ b/operator/service.go
@@ -0,0 +1,173 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/operator/operatorpb"
+	"bramleyfall.example/bramleyfall/platform"
+)
+
+// submitTimeout bounds the time for which a change is offered to the platform.
+const submitTimeout = 8 * time.Second
+
+// Service executes the statements that operators send to a balancer.
+type Service struct {
+	control Control
+	writer  *platform.Writer
+}
+
+var _ operatorpb.Operator = (*Service)(nil)
+
+// NewService returns the service of a balancer.
+func NewService(control Control, writer *platform.Writer) *Service {
+	return &Service{control: control, writer: writer}
+}
+
+// Execute implements operatorpb.Operator. Faults of the statement and refusals
+// are answers with a result code, not errors of the call.
+func (s *Service) Execute(ctx context.Context, r *operatorpb.ExecuteRequest) (*operatorpb.ExecuteReply, error) {
+	statement, err := Parse(r.Statement)
+	if err != nil {
+		return failure(err), nil
+	}
+	switch {
+	case statement.Show != nil && statement.Show.Change != "":
+		return s.showChange(ctx, bramleyfall.ChangeID(statement.Show.Change)), nil
+	case statement.Show != nil:
+		view := s.control.View()
+		table, err := Query(statement.Show, &view)
+		if err != nil {
+			return failure(err), nil
+		}
+		return answer(bramleyfall.OK, "", table), nil
+	case statement.Explain != nil:
+		table, message, err := explain(statement.Explain, s.control)
+		if err != nil {
+			return failure(err), nil
+		}
+		return answer(bramleyfall.OK, message, table), nil
+	}
+	return s.command(ctx, statement, r)
+}
+
+func answer(code bramleyfall.ResultCode, message string, table Table) *operatorpb.ExecuteReply {
+	reply := &operatorpb.ExecuteReply{Code: int32(code), Message: message, Columns: table.Columns}
+	for _, row := range table.Rows {
+		reply.Rows = append(reply.Rows, &operatorpb.Row{Cells: row})
+	}
+	return reply
+}
+
+func failure(err error) *operatorpb.ExecuteReply {
+	code := bramleyfall.CodeOf(err)
+	message, _ := strings.CutPrefix(err.Error(), fmt.Sprintf("%d %s: ", int(code), code))
+	return &operatorpb.ExecuteReply{Code: int32(code), Message: message}
+}
+
+func (s *Service) command(ctx context.Context, statement *Statement, r *operatorpb.ExecuteRequest) (*operatorpb.ExecuteReply, error) {
+	if r.ChangeId == "" && !r.DryRun {
+		return nil, twirp.RequiredArgumentError("change_id")
+	}
+	proposal, err := Propose(statement)
+	if err != nil {
+		return failure(err), nil
+	}
+	view := s.control.View()
+	if r.DryRun {
+		return dryRun(statement, &view, r.Force), nil
+	}
+	proposal.ID = bramleyfall.ChangeID(r.ChangeId)
+	proposal.Actor = r.Actor
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	if reply, done := s.alreadyAccepted(ctx, proposal.ID); done {
+		return reply, nil
+	}
+	if err := s.check(statement, &view, r.Force); err != nil {
+		return failure(err), nil
+	}
+	change, err := s.writer.Submit(ctx, proposal)
+	if err != nil {
+		reply := failure(err)
+		reply.ChangeId = r.ChangeId
+		return reply, nil
+	}
+	s.control.Changed(change)
+	return accepted(change), nil
+}
+
+// alreadyAccepted answers a command that is asked for again, before it is held
+// against a configuration that it has changed itself.
+func (s *Service) alreadyAccepted(ctx context.Context, id bramleyfall.ChangeID) (*operatorpb.ExecuteReply, bool) {
+	change, found, err := s.writer.Find(ctx, id)
+	if err != nil || !found {
+		return nil, false
+	}
+	return accepted(change), true
+}
+
+func (s *Service) check(statement *Statement, view *View, force bool) error {
+	if err := knownTarget(statement, view, force); err != nil {
+		return err
+	}
+	return checkSafe(statement, view, force)
+}
+
+func accepted(c bramleyfall.Change) *operatorpb.ExecuteReply {
+	return &operatorpb.ExecuteReply{
+		Code: int32(bramleyfall.Accepted), ChangeId: string(c.ID), Revision: uint64(c.Revision),
+		Message: fmt.Sprintf("change %s is accepted at revision %d", c.ID, c.Revision),
+	}
+}
+
+func dryRun(statement *Statement, view *View, force bool) *operatorpb.ExecuteReply {
+	if err := checkSafe(statement, view, force); err != nil {
+		reply := failure(err)
+		reply.Message = "dry run: " + reply.Message
+		return reply
+	}
+	impact := Foresee(statement, view)
+	return answer(bramleyfall.OK, "dry run: nothing was changed", impact.Table)
+}
+
+// find looks for a change where it is known already, then in the platform.
+func (s *Service) find(ctx context.Context, id bramleyfall.ChangeID) (bramleyfall.Change, bool, error) {
+	if change, ok := s.control.Find(id); ok {
+		return change, true, nil
+	}
+	return s.writer.Find(ctx, id)
+}
+
+// showChange tells whether a change was accepted and how far it is in force.
+func (s *Service) showChange(ctx context.Context, id bramleyfall.ChangeID) *operatorpb.ExecuteReply {
+	change, found, err := s.find(ctx, id)
+	if err != nil {
+		return &operatorpb.ExecuteReply{
+			Code: int32(bramleyfall.Unknown), ChangeId: string(id),
+			Message: fmt.Sprintf("the platform does not answer (%v); ask again with: show change %s", err, id),
+		}
+	}
+	if !found {
+		return &operatorpb.ExecuteReply{
+			Code: int32(bramleyfall.NotAccepted), ChangeId: string(id),
+			Message: fmt.Sprintf("change %s was not accepted, or longer ago than the last 1000 changes", id),
+		}
+	}
+	s.control.Changed(change)
+	spread := s.control.Spread(change.Revision)
+	reply := accepted(change)
+	if spread.Lagging == 0 {
+		reply.Code = int32(bramleyfall.InForce)
+		reply.Message = fmt.Sprintf("change %s at revision %d is in force at all %d instances", id, change.Revision, spread.Instances)
+		return reply
+	}
+	reply.Message = fmt.Sprintf("change %s is accepted at revision %d, not yet in force at %d of %d instances: %v",
+		id, change.Revision, spread.Lagging, spread.Instances, spread.Names)
+	return reply
+}
--- /dev/null
+++ b/peer/members.go
@@ -0,0 +1,167 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+
+	"bramleyfall.example/bramleyfall"
+)
+
+// memberSet is what a balancer knows of all instances.
+type memberSet struct {
+	records  map[bramleyfall.InstanceID]*bramleyfall.Member
+	services map[bramleyfall.ServiceName]map[bramleyfall.InstanceID]bool
+	// balancers holds the balancers that are not lost, by failure domain and
+	// sorted by id.
+	balancers map[bramleyfall.DomainName][]*bramleyfall.Member
+	// digest is the xor of the hashes of all records.
+	digest uint64
+}
+
+func newMemberSet() *memberSet {
+	return &memberSet{
+		records:   make(map[bramleyfall.InstanceID]*bramleyfall.Member),
+		services:  make(map[bramleyfall.ServiceName]map[bramleyfall.InstanceID]bool),
+		balancers: make(map[bramleyfall.DomainName][]*bramleyfall.Member),
+	}
+}
+
+// live reports whether a member can be sent packets or messages.
+func live(m *bramleyfall.Member) bool {
+	return m.State != bramleyfall.MemberLost && m.State != bramleyfall.MemberLeft
+}
+
+// merge takes a record if it is newer and reports whether it was.
+func (s *memberSet) merge(m bramleyfall.Member) bool {
+	old := s.records[m.ID]
+	if old != nil && !m.Replaces(old) {
+		return false
+	}
+	if old != nil {
+		s.remove(old)
+	}
+	s.add(&m)
+	return true
+}
+
+func (s *memberSet) add(m *bramleyfall.Member) {
+	s.records[m.ID] = m
+	s.digest ^= recordHash(m)
+	if m.Role == bramleyfall.RoleBalancer {
+		if live(m) {
+			list := s.balancers[m.Domain]
+			i, _ := slices.BinarySearchFunc(list, m, compareIDs)
+			s.balancers[m.Domain] = slices.Insert(list, i, m)
+		}
+		return
+	}
+	for _, name := range m.Services {
+		if s.services[name] == nil {
+			s.services[name] = make(map[bramleyfall.InstanceID]bool)
+		}
+		s.services[name][m.ID] = true
+	}
+}
+
+func (s *memberSet) remove(m *bramleyfall.Member) {
+	delete(s.records, m.ID)
+	s.digest ^= recordHash(m)
+	if m.Role == bramleyfall.RoleBalancer {
+		list := s.balancers[m.Domain]
+		if i, ok := slices.BinarySearchFunc(list, m, compareIDs); ok {
+			s.balancers[m.Domain] = slices.Delete(list, i, i+1)
+		}
+		return
+	}
+	for _, name := range m.Services {
+		delete(s.services[name], m.ID)
+		if len(s.services[name]) == 0 {
+			delete(s.services, name)
+		}
+	}
+}
+
+func compareIDs(a, b *bramleyfall.Member) int { return cmp.Compare(a.ID, b.ID) }
+
+func recordHash(m *bramleyfall.Member) uint64 {
+	return m.Key().Score(uint64(m.Boot)*31 + m.Version)
+}
+
+// liveBalancers returns the balancers of all domains that are not lost.
+func (s *memberSet) liveBalancers() []*bramleyfall.Member {
+	var all []*bramleyfall.Member
+	for _, name := range s.domains() {
+		all = append(all, s.balancers[name]...)
+	}
+	return all
+}
+
+// knowsControl reports whether a live balancer has the control address.
+func (s *memberSet) knowsControl(e bramleyfall.Endpoint) bool {
+	for _, m := range s.liveBalancers() {
+		if m.Control == e {
+			return true
+		}
+	}
+	return false
+}
+
+// domains returns the domains that have or had balancers, sorted.
+func (s *memberSet) domains() []bramleyfall.DomainName {
+	names := make([]bramleyfall.DomainName, 0, len(s.balancers))
+	for name := range s.balancers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// topBalancers returns the n members that come first in the rendezvous order
+// for key.
+func topBalancers(candidates []*bramleyfall.Member, key uint64, n int) []*bramleyfall.Member {
+	top := make([]*bramleyfall.Member, 0, n+1)
+	for _, m := range candidates {
+		i, _ := slices.BinarySearchFunc(top, m.Key().Score(key), func(t *bramleyfall.Member, score uint64) int {
+			return cmp.Compare(score, t.Key().Score(key))
+		})
+		if i >= n {
+			continue
+		}
+		top = slices.Insert(top, i, m)
+		if len(top) > n {
+			top = top[:n]
+		}
+	}
+	return top
+}
+
+// watchers returns the balancers that watch the agent with the given id: those
+// of its own failure domain, or of any domain where its own has none.
+func (s *memberSet) watchers(id bramleyfall.InstanceID, domain bramleyfall.DomainName, n int) []*bramleyfall.Member {
+	key := uint64(bramleyfall.KeyOf(string(id)))
+	if own := s.balancers[domain]; len(own) > 0 {
+		return topBalancers(own, key, n)
+	}
+	return topBalancers(s.liveBalancers(), key, n)
+}
+
+// reachable reports whether the agent's watchers can be alive: a balancer of
+// the failure domain that watches it must be.
+func (s *memberSet) reachable(m *bramleyfall.Member) bool {
+	if m.Home == "" {
+		return true
+	}
+	return len(s.balancers[m.Home]) > 0
+}
+
+// IsReader reports whether this balancer is among the first n of its failure
+// domain, which watch the platform.
+func (n *Node) IsReader(count int) bool {
+	const electionKey = 0x9e3779b97f4a7c15
+	for _, m := range topBalancers(n.members.balancers[n.self.Domain], electionKey, count) {
+		if m.ID == n.self.ID {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,423 @@
+// Package peer speaks between the processes of a deployment: it spreads the
+// configuration and the membership among balancers and keeps the agents
+// announced. Node and Announcer are decision code: they take datagrams and
+// times and return datagrams.
+package peer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/configuration"
+	"bramleyfall.example/bramleyfall/peer/peerpb"
+)
+
+// Config holds the settings of a Node.
+type Config struct {
+	// GossipEvery is the time between two rounds of rumors.
+	GossipEvery time.Duration
+	// ProbeEvery is the time between two probes of other balancers.
+	ProbeEvery time.Duration
+	// ProbeTimeout is the time for an answer to a probe.
+	ProbeTimeout time.Duration
+	// SuspectTimeout is the time in which a suspect may refute.
+	SuspectTimeout time.Duration
+	// DigestEvery is the time between two comparisons of whole knowledge.
+	DigestEvery time.Duration
+	// HeartbeatEvery is the least time between an agent's heartbeats.
+	HeartbeatEvery time.Duration
+	// HeartbeatBudget is the number of bytes a second that the heartbeats of
+	// all watched agents with their answers may take.
+	HeartbeatBudget int
+	// MissedHeartbeats is the number of heartbeats after which an agent is
+	// asked for.
+	MissedHeartbeats int
+	// Fanout is the number of peers that a round of rumors goes to.
+	Fanout int
+	// Copies is the number of peers that each balancer sends a rumor to.
+	Copies int
+	// Watchers is the number of balancers that watch an agent.
+	Watchers int
+	// PauseAfter is the time without a tick after which the process is taken
+	// to have been paused.
+	PauseAfter time.Duration
+	// Seed makes the choice of peers repeatable.
+	Seed uint64
+}
+
+// DefaultConfig returns the settings used where options set no others.
+func DefaultConfig() Config {
+	return Config{
+		GossipEvery:      200 * time.Millisecond,
+		ProbeEvery:       time.Second,
+		ProbeTimeout:     400 * time.Millisecond,
+		SuspectTimeout:   2 * time.Second,
+		DigestEvery:      10 * time.Second,
+		HeartbeatEvery:   500 * time.Millisecond,
+		HeartbeatBudget:  700,
+		MissedHeartbeats: 3,
+		Fanout:           3,
+		Copies:           6,
+		Watchers:         3,
+		PauseAfter:       2 * time.Second,
+	}
+}
+
+// Option sets an option of a Node.
+type Option func(*Config)
+
+// WithSeed makes the choice of peers repeatable.
+func WithSeed(seed uint64) Option { return func(c *Config) { c.Seed = seed } }
+
+// WithConfig replaces all settings.
+func WithConfig(config Config) Option { return func(c *Config) { *c = config } }
+
+// Outgoing is a datagram to send.
+type Outgoing struct {
+	To       bramleyfall.Endpoint
+	Datagram *peerpb.Datagram
+}
+
+// Node is a balancer's part in membership and configuration. It is not safe
+// for concurrent use.
+type Node struct {
+	config   Config
+	self     bramleyfall.Member
+	state    *configuration.State
+	members  *memberSet
+	rumors   rumorQueue
+	probes   prober
+	watch    watchList
+	asks     map[uint64]*statusAsk
+	random   *rand.Rand
+	sequence uint64
+	lastTick time.Time
+	lastNews time.Time
+	// contact are balancers to ask when no member is known.
+	contact []bramleyfall.Endpoint
+	// altered collects the services whose routing may have changed.
+	altered   map[bramleyfall.ServiceName]bool
+	allMoved  bool
+	nextDue   dueTimes
+	sequences map[string]senderSequence
+	out       []Outgoing
+}
+
+type dueTimes struct{ gossip, probe, digest time.Time }
+
+// NewNode returns the node of a balancer. Self needs id, boot, domain and both
+// addresses.
+func NewNode(self bramleyfall.Member, state *configuration.State, now time.Time, options ...Option) *Node {
+	config := DefaultConfig()
+	for _, o := range options {
+		o(&config)
+	}
+	self.Role = bramleyfall.RoleBalancer
+	self.State = bramleyfall.MemberServing
+	self.Version = max(self.Version, 1)
+	n := &Node{
+		config:    config,
+		self:      self,
+		state:     state,
+		members:   newMemberSet(),
+		rumors:    newRumorQueue(),
+		probes:    newProber(),
+		watch:     newWatchList(),
+		asks:      make(map[uint64]*statusAsk),
+		random:    rand.New(rand.NewPCG(config.Seed, uint64(self.Key()))),
+		lastTick:  now,
+		lastNews:  now,
+		altered:   make(map[bramleyfall.ServiceName]bool),
+		sequences: make(map[string]senderSequence),
+	}
+	n.learn(self)
+	return n
+}
+
+// SetContacts sets the balancers to ask while no other member is known. Those
+// that are no member yet are asked at once.
+func (n *Node) SetContacts(contacts []bramleyfall.Endpoint) {
+	n.contact = contacts
+	for _, c := range contacts {
+		if !n.members.knowsControl(c) {
+			n.probes.pullMembers = c
+		}
+	}
+}
+
+// Alone reports whether no other live balancer is known.
+func (n *Node) Alone() bool { return len(n.otherBalancers()) == 0 }
+
+// State returns the configuration of the node.
+func (n *Node) State() *configuration.State { return n.state }
+
+// Self returns the node's own record.
+func (n *Node) Self() bramleyfall.Member { return n.self }
+
+// Receive handles a datagram whose seal was good and returns the answers.
+// Messages of an earlier boot or sequence change nothing.
+func (n *Node) Receive(d *peerpb.Datagram, now time.Time) []Outgoing {
+	n.out = nil
+	from := toEndpoint(d.Control)
+	if from == n.self.Control || !n.fresh(d) {
+		return nil
+	}
+	n.lastNews = now
+	n.state.Heard(bramleyfall.Revision(d.Revision))
+	switch body := d.Body.(type) {
+	case *peerpb.Datagram_Heartbeat:
+		n.heartbeat(from, body.Heartbeat, now)
+	case *peerpb.Datagram_Rumor:
+		n.rumor(body.Rumor)
+	case *peerpb.Datagram_Probe:
+		n.probeAsked(from, body.Probe)
+	case *peerpb.Datagram_ProbeAck:
+		n.probeAnswered(body.ProbeAck)
+	case *peerpb.Datagram_StatusAsk:
+		n.statusAsked(from, body.StatusAsk)
+	case *peerpb.Datagram_StatusReply:
+		n.statusReplied(d.Sender, body.StatusReply)
+	case *peerpb.Datagram_Digest:
+		n.digestHeard(from, body.Digest)
+	}
+	return n.out
+}
+
+// senderSequence is the newest message of a sender.
+type senderSequence struct {
+	boot, sequence uint64
+}
+
+// sequenceWindow is the number of messages by which one may be overtaken.
+const sequenceWindow = 64
+
+// fresh reports whether the message is not a replay of an old one. Messages
+// within the window may repeat; all of them are idempotent.
+func (n *Node) fresh(d *peerpb.Datagram) bool {
+	last := n.sequences[d.Sender]
+	switch {
+	case d.Boot < last.boot:
+		return false
+	case d.Boot == last.boot && d.Sequence+sequenceWindow < last.sequence:
+		return false
+	case d.Boot > last.boot || d.Sequence > last.sequence:
+		n.sequences[d.Sender] = senderSequence{boot: d.Boot, sequence: d.Sequence}
+	}
+	return true
+}
+
+// Tick returns the datagrams that are due at now.
+func (n *Node) Tick(now time.Time) []Outgoing {
+	n.out = nil
+	if now.Sub(n.lastTick) > n.config.PauseAfter {
+		n.paused(now)
+	}
+	n.lastTick = now
+	if due(&n.nextDue.gossip, n.config.GossipEvery, now) {
+		n.gossip()
+	}
+	if due(&n.nextDue.probe, n.config.ProbeEvery, now) {
+		n.probeNext(now)
+		n.watchAgents(now)
+	}
+	n.probeTimeouts(now)
+	if due(&n.nextDue.digest, n.config.DigestEvery, now) {
+		n.sendDigest()
+	}
+	return n.out
+}
+
+func due(next *time.Time, every time.Duration, now time.Time) bool {
+	if now.Before(*next) {
+		return false
+	}
+	*next = now.Add(every)
+	return true
+}
+
+// paused forgets all timers after the process stood still, so that the time
+// of the pause is not held against others.
+func (n *Node) paused(now time.Time) {
+	n.probes = newProber()
+	n.watch.restart(now)
+	n.lastNews = now
+}
+
+func (n *Node) send(to bramleyfall.Endpoint, d *peerpb.Datagram) {
+	n.sequence++
+	d.Sender = string(n.self.ID)
+	d.Boot = uint64(n.self.Boot)
+	d.Sequence = n.sequence
+	d.Revision = uint64(n.state.Revision())
+	d.Control = fromEndpoint(n.self.Control)
+	n.out = append(n.out, Outgoing{To: to, Datagram: d})
+}
+
+// learn merges a record and spreads it if it is news.
+func (n *Node) learn(m bramleyfall.Member) {
+	old := n.members.records[m.ID]
+	var before bramleyfall.Member
+	if old != nil {
+		before = *old
+	}
+	if !n.members.merge(m) {
+		return
+	}
+	n.markAltered(&before)
+	n.markAltered(&m)
+	n.rumors.addMember(m.ID)
+}
+
+func (n *Node) markAltered(m *bramleyfall.Member) {
+	if m.Role == bramleyfall.RoleBalancer {
+		// A domain may have lost or found its first balancer.
+		n.allMoved = n.allMoved || len(n.members.balancers[m.Domain]) <= 1
+		return
+	}
+	for _, s := range m.Services {
+		n.altered[s] = true
+	}
+}
+
+// learnAll takes the records that another instance sent.
+func (n *Node) learnAll(members []*peerpb.Member) {
+	for _, p := range members {
+		m, ok := toMember(p)
+		if !ok {
+			continue
+		}
+		n.heardOf(m)
+	}
+}
+
+// heardOf merges a record that another instance sent. The node refutes a
+// record that calls itself lost.
+func (n *Node) heardOf(m bramleyfall.Member) {
+	if m.ID == n.self.ID {
+		n.heardOfSelf(m)
+		return
+	}
+	if !live(&m) && n.watch.heardLately(m.ID, n.lastTick, n.config) {
+		n.refute(m)
+		return
+	}
+	n.learn(m)
+}
+
+func (n *Node) heardOfSelf(m bramleyfall.Member) {
+	if !m.Replaces(&n.self) || m.Boot > n.self.Boot {
+		return
+	}
+	n.self.Version = m.Version + 1
+	n.learn(n.self)
+}
+
+// refute answers a false record of an agent that this node hears from.
+func (n *Node) refute(m bramleyfall.Member) {
+	known := n.members.records[m.ID]
+	if known == nil || !m.Replaces(known) || m.Boot != known.Boot || !live(known) || m.State == bramleyfall.MemberLeft {
+		n.learn(m)
+		return
+	}
+	next := *known
+	next.Version = m.Version + 1
+	n.learn(next)
+}
+
+// Leave marks the node as leaving and returns the datagrams that say so.
+func (n *Node) Leave() []Outgoing {
+	n.out = nil
+	n.self.State = bramleyfall.MemberLeft
+	n.self.Version++
+	n.learn(n.self)
+	n.gossip()
+	return n.out
+}
+
+// ApplyChange takes a change from the platform or a peer and spreads it if it
+// was news.
+func (n *Node) ApplyChange(c bramleyfall.Change) error {
+	altered, err := n.state.Apply(c)
+	if err != nil {
+		return err
+	}
+	if altered {
+		n.rumors.addChange(c)
+		n.keyAltered(c.Key)
+	}
+	return nil
+}
+
+// ApplyFull takes a snapshot of the configuration.
+func (n *Node) ApplyFull(changes []bramleyfall.Change, revision bramleyfall.Revision) {
+	for _, key := range n.state.ApplyFull(changes, revision) {
+		n.keyAltered(key)
+	}
+}
+
+func (n *Node) keyAltered(key string) {
+	name, ok := configuration.ServiceOfKey(key)
+	if !ok {
+		n.allMoved = true
+		return
+	}
+	n.altered[name] = true
+}
+
+// TakeAltered returns the services whose routing may have changed since the
+// last call. All is set when every service may have.
+func (n *Node) TakeAltered() (services []bramleyfall.ServiceName, all bool) {
+	all = n.allMoved
+	for s := range n.altered {
+		services = append(services, s)
+	}
+	clear(n.altered)
+	n.allMoved = false
+	return services, all
+}
+
+// Members returns the records of all instances, in no order.
+func (n *Node) Members() []bramleyfall.Member {
+	out := make([]bramleyfall.Member, 0, len(n.members.records))
+	for _, m := range n.members.records {
+		out = append(out, *m)
+	}
+	return out
+}
+
+// Serving returns the live and reachable agents that serve a service. When all
+// of them seem lost, which is more likely a fault of this node than the death
+// of all, it returns them all.
+func (n *Node) Serving(name bramleyfall.ServiceName) []bramleyfall.Member {
+	var alive, lost []bramleyfall.Member
+	for id := range n.members.services[name] {
+		m := n.members.records[id]
+		switch {
+		case m.State == bramleyfall.MemberLeft:
+		case live(m) && n.members.reachable(m):
+			alive = append(alive, *m)
+		default:
+			lost = append(lost, *m)
+		}
+	}
+	if len(alive) == 0 {
+		return lost
+	}
+	return alive
+}
+
+// Isolated reports whether the node has heard nothing for the time in which it
+// would call others lost.
+func (n *Node) Isolated(now time.Time) bool {
+	return now.Sub(n.lastNews) > n.config.SuspectTimeout
+}
+
+// ApplyNotice takes a change of which only the key's value and revision are
+// known, as an agent told it. It takes effect but leaves the revision as it
+// is, so that the change itself is still pulled.
+func (n *Node) ApplyNotice(c bramleyfall.Change) {
+	if n.state.ApplyItem(c) {
+		n.keyAltered(c.Key)
+	}
+}
--- /dev/null
+++ b/peer/pull.go
@@ -0,0 +1,57 @@
+package peer
+
+import (
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/peer/peerpb"
+)
+
+// PullDue returns the peer and the request of a pull that the node needs, and
+// whether it needs one.
+func (n *Node) PullDue() (bramleyfall.Endpoint, *peerpb.PullRequest, bool) {
+	request := &peerpb.PullRequest{Revision: uint64(n.state.Revision())}
+	if to := n.probes.pullMembers; !to.IsZero() {
+		n.probes.pullMembers = bramleyfall.Endpoint{}
+		request.Members = true
+		return to, request, true
+	}
+	if n.state.Newest() <= n.state.Revision() {
+		return bramleyfall.Endpoint{}, nil, false
+	}
+	peers := n.randomPeers(1)
+	if len(peers) == 0 {
+		return bramleyfall.Endpoint{}, nil, false
+	}
+	return peers[0], request, true
+}
+
+// Pull answers a pull with the changes since the point where the two
+// configurations part, or a snapshot where that is too long ago.
+func (n *Node) Pull(request *peerpb.PullRequest) *peerpb.PullReply {
+	reply := &peerpb.PullReply{Revision: uint64(n.state.Revision())}
+	changes, ok := n.state.Since(bramleyfall.Revision(request.Revision))
+	if !ok {
+		changes = n.state.Full()
+		reply.Full = true
+	}
+	reply.Changes = fromChanges(changes)
+	if request.Members {
+		for _, m := range n.members.records {
+			reply.Members = append(reply.Members, fromMember(m))
+		}
+	}
+	return reply
+}
+
+// Pulled takes the answer to a pull.
+func (n *Node) Pulled(reply *peerpb.PullReply) {
+	changes := toChanges(reply.Changes)
+	if reply.Full {
+		n.ApplyFull(changes, bramleyfall.Revision(reply.Revision))
+	} else {
+		for _, c := range changes {
+			// A malformed change is refused by every instance alike.
+			_ = n.ApplyChange(c)
+		}
+	}
+	n.learnAll(reply.Members)
+}
--- /dev/null
+++ b/standin/fabric/relay.go
@@ -0,0 +1,126 @@
+package fabric
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+
+	"bramleyfall.example/bramleyfall"
+)
+
+// Relay carries datagrams and connections from an advertised address to the
+// instance behind it, so that paths between failure domains can be cut.
+type Relay struct {
+	Listen bramleyfall.Endpoint
+	Target bramleyfall.Endpoint
+	Domain string
+}
+
+// Relays is a set of relays with the cuts between domains.
+type Relays struct {
+	relays []Relay
+	mu     sync.Mutex
+	// domains maps the IP of an instance to its failure domain.
+	domains map[netip.Addr]string
+	cuts    map[[2]string]bool
+	loss    float64
+}
+
+// NewRelays returns relays that lose the given share of datagrams between
+// domains. Run must be called.
+func NewRelays(relays []Relay, loss float64) *Relays {
+	r := &Relays{relays: relays, domains: make(map[netip.Addr]string), cuts: make(map[[2]string]bool), loss: loss}
+	for _, x := range relays {
+		r.domains[x.Target.AddrPort().Addr()] = x.Domain
+	}
+	return r
+}
+
+// Cut ends the traffic between two domains; "*" stands for all others.
+func (r *Relays) Cut(a, b string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts[[2]string{a, b}] = true
+	r.cuts[[2]string{b, a}] = true
+}
+
+// Heal ends all cuts.
+func (r *Relays) Heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.cuts)
+}
+
+func (r *Relays) open(from netip.Addr, to string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sender := r.domains[from.Unmap()]
+	if sender == to || sender == "" {
+		return true
+	}
+	return !r.cuts[[2]string{sender, to}] && !r.cuts[[2]string{sender, "*"}] && !r.cuts[[2]string{to, "*"}] &&
+		(r.loss == 0 || rand.Float64() >= r.loss)
+}
+
+// Run opens all relays and carries traffic until ctx ends.
+func (r *Relays) Run(ctx context.Context) error {
+	for _, x := range r.relays {
+		udp, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(x.Listen.AddrPort()))
+		if err != nil {
+			return err
+		}
+		tcp, err := net.Listen("tcp4", x.Listen.String())
+		if err != nil {
+			return err
+		}
+		context.AfterFunc(ctx, func() { _ = udp.Close(); _ = tcp.Close() })
+		go r.loopDatagrams(udp, x)
+		go r.loopConnections(tcp, x)
+	}
+	return nil
+}
+
+func (r *Relays) loopDatagrams(udp *net.UDPConn, x Relay) {
+	buffer := make([]byte, 65536)
+	for {
+		n, from, err := udp.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		if r.open(from.Addr(), x.Domain) {
+			_, _ = udp.WriteToUDPAddrPort(buffer[:n], x.Target.AddrPort())
+		}
+	}
+}
+
+func (r *Relays) loopConnections(tcp net.Listener, x Relay) {
+	for {
+		in, err := tcp.Accept()
+		if err != nil {
+			return
+		}
+		from, ok := in.RemoteAddr().(*net.TCPAddr)
+		if !ok || !r.open(from.AddrPort().Addr(), x.Domain) {
+			_ = in.Close()
+			continue
+		}
+		go relayConnection(in, x.Target)
+	}
+}
+
+func relayConnection(in net.Conn, to bramleyfall.Endpoint) {
+	defer in.Close()
+	out, err := net.Dial("tcp4", to.String())
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	go func() {
+		_, _ = io.Copy(out, in)
+		_ = out.Close()
+	}()
+	_, _ = io.Copy(in, out)
+}
--- /dev/null
+++ b/upstream/entry.go
@@ -0,0 +1,31 @@
+package upstream
+
+import (
+	"cmp"
+	"slices"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/configuration"
+)
+
+// BuildEntry returns the routing entry of a service from the agents that
+// announce it. Agents that operators do not allow, and those in failure domains
+// out of service, are left out.
+func BuildEntry(service *bramleyfall.Service, state *configuration.State, agents []bramleyfall.Member) *Entry {
+	entry := &Entry{Name: service.Name, Revision: state.Revision()}
+	for i := range agents {
+		m := &agents[i]
+		if m.UpstreamBoot == 0 || !configuration.Allows(service, m.ID) {
+			continue
+		}
+		if state.DomainState(m.Domain) == bramleyfall.DomainOut {
+			continue
+		}
+		entry.Candidates = append(entry.Candidates, Candidate{
+			Name: m.ID, Upstream: m.Key(), Boot: m.UpstreamBoot, Address: m.Packets,
+			Open: m.State == bramleyfall.MemberServing && !state.Drained(m.ID),
+		})
+	}
+	slices.SortFunc(entry.Candidates, func(a, b Candidate) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return entry
+}
