Pass a packet on to the next hop after its trial, not to the same one

Cause: an agent that started after its upstream asks the upstream about flows it does not know. When the upstream denied the flow, the kept packet was sent to the hop the list pointed at, which was the agent itself, and so went round until the caller gave up. Ruled out: the hop order differing between balancers (the logs show the same lists), lost SYN replies (FlowsOpen reached its full number). Also: a denied flow is remembered and not tried again, and the answer is acted on at once instead of at the next tick.

--- a/agent/decide.go
+++ b/agent/decide.go
@@ -126,6 +126,7 @@
 	}
 	if in.fromUpstream {
 		d.act(d.gate.FromUpstream(&m.Packet, now), now)
+		d.all(d.gate.Settle(now), now)
 		return
 	}
 	if !m.HasHops {
--- a/caller/adopt.go
+++ b/caller/adopt.go
@@ -9,66 +9,84 @@
 const (
 	// maxTrials bounds the flows that are tried on the upstream at once.
 	maxTrials = 1024
+	// maxForeign bounds the flows that are remembered as not the upstream's.
+	maxForeign = 65536
 	// maxKept bounds the packets that are kept for one trial.
 	maxKept = 8
 	// trialTimeout is the time for the upstream's answer.
 	trialTimeout = 300 * time.Millisecond
 )
 
-// trial is a flow that an agent without a flow table asks its upstream about.
+// trials are the flows that an agent without a flow table asks its upstream
+// about.
+type trials struct {
+	open map[bramleyfall.Flow]*trial
+	// foreign holds the flows that the upstream denied.
+	foreign map[bramleyfall.Flow]bool
+}
+
 type trial struct {
-	list bramleyfall.HopList
-	kept [][]byte
+	kept []keptPacket
 	due  time.Time
-	// next is the sequence number that follows the caller's last packet.
-	next uint32
 }
 
-type trials map[bramleyfall.Flow]*trial
+// keptPacket is a packet that waits for the upstream's answer.
+type keptPacket struct {
+	packet bramleyfall.Packet
+	list   bramleyfall.HopList
+}
+
+func newTrials() trials {
+	return trials{open: make(map[bramleyfall.Flow]*trial), foreign: make(map[bramleyfall.Flow]bool)}
+}
 
-func newTrials() trials { return make(trials) }
+func (t *trials) deny(key bramleyfall.Flow) {
+	if len(t.foreign) >= maxForeign {
+		clear(t.foreign)
+	}
+	t.foreign[key] = true
+}
 
 // try asks the upstream by a keepalive probe whether it has the flow, and
 // keeps the packet until it answers. A flow that the upstream does not have is
 // passed on; the upstream's reset never reaches the caller.
 func (g *FlowGate) try(p *bramleyfall.Packet, list *bramleyfall.HopList, now time.Time) bramleyfall.Action {
-	hold := bramleyfall.Action{Kind: bramleyfall.ActionDrop, Flow: p.Flow}
-	t := g.trials[p.Flow]
-	if t != nil {
-		if len(t.kept) < maxKept {
-			t.kept = append(t.kept, append([]byte(nil), p.Raw...))
-		}
-		return hold
-	}
-	if len(g.trials) >= maxTrials {
+	t := g.trials.open[p.Flow]
+	if g.trials.foreign[p.Flow] || t == nil && len(g.trials.open) >= maxTrials {
 		return g.passOn(p, list, bramleyfall.NoOwner)
 	}
-	g.trials[p.Flow] = &trial{
-		list: *list,
-		kept: [][]byte{append([]byte(nil), p.Raw...)},
-		due:  now.Add(trialTimeout),
-		next: p.End(),
+	hold := bramleyfall.Action{Kind: bramleyfall.ActionDrop, Flow: p.Flow}
+	if t == nil {
+		t = &trial{due: now.Add(trialTimeout)}
+		g.trials.open[p.Flow] = t
+		hold.ToUpstream = &bramleyfall.Segment{
+			Flow: p.Flow, Sequence: p.Sequence - 1, Ack: p.Ack, HasAck: true,
+		}
 	}
-	hold.ToUpstream = &bramleyfall.Segment{
-		Flow: p.Flow, Sequence: p.Sequence - 1, Ack: p.Ack, HasAck: true,
+	if len(t.kept) < maxKept {
+		kept := keptPacket{packet: *p, list: *list}
+		kept.packet.Raw = append([]byte(nil), p.Raw...)
+		t.kept = append(t.kept, kept)
 	}
 	return hold
 }
 
 // answerTrial handles an upstream's packet of a flow on trial.
 func (g *FlowGate) answerTrial(p *bramleyfall.Packet, key bramleyfall.Flow, now time.Time) (bramleyfall.Action, bool) {
-	t := g.trials[key]
+	t := g.trials.open[key]
 	if t == nil {
 		return bramleyfall.Action{}, false
 	}
-	if p.Kind != bramleyfall.KindReset {
-		if s := g.service(key); s != nil {
-			g.adopt(key, s, p, now)
-			g.flows[key].nextCaller = t.next
-		}
-	}
 	t.due = now
-	return bramleyfall.Action{Kind: bramleyfall.ActionDrop, Flow: key, Opened: p.Kind != bramleyfall.KindReset}, true
+	answer := bramleyfall.Action{Kind: bramleyfall.ActionDrop, Flow: key}
+	s := g.service(key)
+	if p.Kind == bramleyfall.KindReset || s == nil {
+		g.trials.deny(key)
+		return answer, true
+	}
+	g.adopt(key, s, p, now)
+	answer.Opened = true
+	return answer, true
 }
 
 // adopt takes a flow of the running upstream into the table.
@@ -85,19 +103,26 @@
 // ended: deliver them, or pass them on.
 func (g *FlowGate) Settle(now time.Time) []bramleyfall.Action {
 	var actions []bramleyfall.Action
-	for key, t := range g.trials {
+	for key, t := range g.trials.open {
 		if now.Before(t.due) {
 			continue
 		}
-		delete(g.trials, key)
-		kind := bramleyfall.ActionDeliver
-		if g.flows[key] == nil {
-			kind = bramleyfall.ActionPass
-		}
-		for _, raw := range t.kept {
-			list := t.list
-			actions = append(actions, bramleyfall.Action{Kind: kind, Flow: key, Replay: raw, ReplayList: &list})
+		delete(g.trials.open, key)
+		for i := range t.kept {
+			actions = append(actions, g.settle(&t.kept[i], now))
 		}
 	}
 	return actions
 }
+
+func (g *FlowGate) settle(kept *keptPacket, now time.Time) bramleyfall.Action {
+	var a bramleyfall.Action
+	if f := g.flows[kept.packet.Flow]; f != nil {
+		a = g.known(&kept.packet, f, &kept.list, now)
+	} else {
+		a = g.passOn(&kept.packet, &kept.list, bramleyfall.NoOwner)
+	}
+	a.Replay = kept.packet.Raw
+	a.ReplayList = &kept.list
+	return a
+}
--- a/scenario/main.go
+++ b/scenario/main.go
@@ -24,6 +24,7 @@
 	s := settings.New("scenario", "runs scenario files: scenario [flags] file ...")
 	programs := s.String("programs", "bin", "folder of the built programs")
 	verbose := s.Bool("progress", true, "print progress")
+	keep := s.Bool("keep", false, "keep the folder with logs and ledgers")
 	check := func() {
 		if s.NArg() == 0 {
 			s.Fault("programs", "name at least one scenario file")
@@ -36,7 +37,9 @@
 		}
 		t := &reporter{verbose: *verbose}
 		t.Run("scenarios", func(t testscript.T) {
-			testscript.RunT(t, Params(folder, s.Args()))
+			params := Params(folder, s.Args())
+			params.TestWork = *keep
+			testscript.RunT(t, params)
 		})
 		if t.failed {
 			return errors.New("a scenario failed")
