Hold packets of unknown flows until a started agent knows its setup

Cause: a replaced agent gets packets of its upstream's flows before it has its configuration (51 ms after the start) and its upstream's boot id (50 ms). It passed them on, and the last hop reset the flows (Event=Reset Reason=NoOwner at 33 ms after the start in the logs of two other agents). Openings are still passed on at once; TCP repeats a packet that is held back.

--- a/caller/gate.go
+++ b/caller/gate.go
@@ -12,6 +12,10 @@
 	"bramleyfall.example/bramleyfall/chart"
 )
 
+// startGrace is the longest time for which a started agent holds packets of
+// unknown flows until it knows its configuration and its upstream.
+const startGrace = 5 * time.Second
+
 // Config holds the settings of a FlowGate.
 type Config struct {
 	// Upstream is the key that hop lists name the upstream by.
@@ -204,6 +208,10 @@
 	if hop.Upstream != g.config.Upstream {
 		return drop(p, bramleyfall.WrongUpstream)
 	}
+	if g.starting(now) && p.Kind != bramleyfall.KindOpening {
+		// The flow may be this upstream's: its sender repeats the packet.
+		return drop(p, bramleyfall.StaleInstance)
+	}
 	s := g.service(p.Flow)
 	if s == nil || s.name.Key() != list.Service {
 		return g.passOn(p, list, bramleyfall.WrongService)
@@ -226,6 +234,14 @@
 	return g.passOn(p, list, bramleyfall.NoOwner)
 }
 
+// starting reports whether the agent has yet to learn its configuration or its
+// upstream. A packet that was passed on then would end in a reset of a flow that
+// may be adopted a moment later.
+func (g *FlowGate) starting(now time.Time) bool {
+	ready := g.services != nil && g.upstream.boot != 0
+	return !ready && now.Sub(g.epoch) < startGrace
+}
+
 func drop(p *bramleyfall.Packet, code bramleyfall.ResultCode) bramleyfall.Action {
 	return bramleyfall.Action{Kind: bramleyfall.ActionDrop, Code: code, Flow: p.Flow}
 }
