Route to agents of a failure domain for 4 s after its last balancer left

Cause: when the only balancer of a failure domain stopped gracefully, its agents counted as unreachable at once, although they found other watchers 110 ms later; packets of their flows were reset by the last hop in between. Ruled out: the balancer's own drain (no packet was lost at it). Price: a failure domain that dies with all its balancers keeps its agents in the tables 4 s longer. Also: a table is rebuilt once, not twice, when all services may have moved.

--- a/balancer/control.go
+++ b/balancer/control.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -196,12 +198,11 @@
 func (c *controller) sync() {
 	services, all := c.node.TakeAltered()
 	if all {
-		services = services[:0]
+		services = slices.Collect(maps.Keys(c.routed))
 		for _, s := range c.node.State().Services() {
-			services = append(services, s.Name)
-		}
-		for name := range c.routed {
-			services = append(services, name)
+			if !c.routed[s.Name] {
+				services = append(services, s.Name)
+			}
 		}
 	}
 	for _, name := range services {
--- a/peer/members.go
+++ b/peer/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"bramleyfall.example/bramleyfall"
 )
@@ -14,6 +15,10 @@
 	// balancers holds the balancers that are not lost, by failure domain and
 	// sorted by id.
 	balancers map[bramleyfall.DomainName][]*bramleyfall.Member
+	// emptySince holds when a failure domain lost its last balancer, orphaned
+	// those that have been without one for long.
+	emptySince map[bramleyfall.DomainName]time.Time
+	orphaned   map[bramleyfall.DomainName]bool
 	// digest is the xor of the hashes of all records.
 	digest uint64
 }
@@ -23,6 +28,9 @@
 		records:   make(map[bramleyfall.InstanceID]*bramleyfall.Member),
 		services:  make(map[bramleyfall.ServiceName]map[bramleyfall.InstanceID]bool),
 		balancers: make(map[bramleyfall.DomainName][]*bramleyfall.Member),
+
+		emptySince: make(map[bramleyfall.DomainName]time.Time),
+		orphaned:   make(map[bramleyfall.DomainName]bool),
 	}
 }
 
@@ -145,13 +153,33 @@
 	return topBalancers(s.liveBalancers(), key, n)
 }
 
-// reachable reports whether the agent's watchers can be alive: a balancer of
-// the failure domain that watches it must be.
+// reachable reports whether the agent's watchers can be alive: the failure
+// domain whose balancers watch it has one, or lost its last one so lately that
+// the agent may not have found others.
 func (s *memberSet) reachable(m *bramleyfall.Member) bool {
-	if m.Home == "" {
-		return true
+	return m.Home == "" || !s.orphaned[m.Home]
+}
+
+// checkOrphans notes the failure domains that have been without a balancer for
+// longer than grace, and reports whether their number changed.
+func (s *memberSet) checkOrphans(now time.Time, grace time.Duration) bool {
+	changed := false
+	for name, list := range s.balancers {
+		if len(list) > 0 {
+			changed = changed || s.orphaned[name]
+			delete(s.emptySince, name)
+			delete(s.orphaned, name)
+			continue
+		}
+		if s.emptySince[name].IsZero() {
+			s.emptySince[name] = now
+		}
+		if !s.orphaned[name] && now.Sub(s.emptySince[name]) > grace {
+			s.orphaned[name] = true
+			changed = true
+		}
 	}
-	return len(s.balancers[m.Home]) > 0
+	return changed
 }
 
 // IsReader reports whether this balancer is among the first n of its failure
--- a/peer/node.go
+++ b/peer/node.go
@@ -39,6 +39,9 @@
 	Copies int
 	// Watchers is the number of balancers that watch an agent.
 	Watchers int
+	// OrphanGrace is the time for which the agents of a failure domain without
+	// balancers are still routed to, while they look for other watchers.
+	OrphanGrace time.Duration
 	// PauseAfter is the time without a tick after which the process is taken
 	// to have been paused.
 	PauseAfter time.Duration
@@ -60,6 +63,7 @@
 		Fanout:           3,
 		Copies:           6,
 		Watchers:         3,
+		OrphanGrace:      4 * time.Second,
 		PauseAfter:       2 * time.Second,
 	}
 }
@@ -222,6 +226,9 @@
 		n.watchAgents(now)
 	}
 	n.probeTimeouts(now)
+	if n.members.checkOrphans(now, n.config.OrphanGrace) {
+		n.allMoved = true
+	}
 	if due(&n.nextDue.digest, n.config.DigestEvery, now) {
 		n.sendDigest()
 	}
@@ -271,8 +278,6 @@
 
 func (n *Node) markAltered(m *bramleyfall.Member) {
 	if m.Role == bramleyfall.RoleBalancer {
-		// A domain may have lost or found its first balancer.
-		n.allMoved = n.allMoved || len(n.members.balancers[m.Domain]) <= 1
 		return
 	}
 	for _, s := range m.Services {
