--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,14 @@
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 PROGRAMS := $(foreach m,$(filter-out .,$(MODULES)),./$(m))
 
-.PHONY: build test lint format tools
+.PHONY: build demo test lint format tools
 
 build:
 	go build -o bin/ $(PROGRAMS)
 
+demo: build
+	bin/scenario scenario/testdata/demo.txtar
+
 test: build
 	go test -count=1 $(PACKAGES)
 
--- a/caller/gate.go
+++ b/caller/gate.go
@@ -204,8 +204,7 @@
 // ActionPass.
 func (g *FlowGate) FromCaller(p *bramleyfall.Packet, list *bramleyfall.HopList, now time.Time) bramleyfall.Action {
 	g.share.learn(list, g.config.Upstream, now)
-	hop := list.Current()
-	if hop.Upstream != g.config.Upstream {
+	if list.Current().Upstream != g.config.Upstream {
 		return drop(p, bramleyfall.WrongUpstream)
 	}
 	if g.starting(now) && p.Kind != bramleyfall.KindOpening {
@@ -213,27 +212,46 @@
 		return drop(p, bramleyfall.StaleInstance)
 	}
 	s := g.service(p.Flow)
-	if s == nil || s.name.Key() != list.Service {
-		return g.passOn(p, list, bramleyfall.WrongService)
-	}
-	if g.domain == bramleyfall.DomainOut {
-		return g.passOn(p, list, bramleyfall.NotRunDomainOut)
-	}
-	if hop.Boot != g.upstream.boot || g.upstream.boot == 0 {
-		return g.passOn(p, list, bramleyfall.WrongUpstream)
+	if code := g.mayServe(s, list); code != bramleyfall.OK {
+		return g.passOn(p, list, code)
 	}
 	if f := g.flows[p.Flow]; f != nil {
 		return g.known(p, f, list, now)
 	}
-	if p.Kind == bramleyfall.KindOpening || p.Flow.Protocol == bramleyfall.UDP && !g.upstream.adopting(now) && list.Last() && !list.More {
+	switch {
+	case p.Kind == bramleyfall.KindOpening, g.opensUDP(p, list, now):
 		return g.open(p, s, list, now)
-	}
-	if p.Kind != bramleyfall.KindReset && g.upstream.adopting(now) && p.Flow.Protocol == bramleyfall.TCP {
+	case p.Kind != bramleyfall.KindReset && p.Flow.Protocol == bramleyfall.TCP && g.upstream.adopting(now):
 		return g.try(p, list, now)
 	}
 	return g.passOn(p, list, bramleyfall.NoOwner)
 }
 
+// mayServe reports whether packets with the list may be delivered at all: the
+// service is one that the upstream serves, its failure domain is in service and
+// the list names the run of the upstream that is there.
+func (g *FlowGate) mayServe(s *service, list *bramleyfall.HopList) bramleyfall.ResultCode {
+	switch {
+	case s == nil || s.name.Key() != list.Service:
+		return bramleyfall.WrongService
+	case g.domain == bramleyfall.DomainOut:
+		return bramleyfall.NotRunDomainOut
+	case list.Current().Boot != g.upstream.boot || g.upstream.boot == 0:
+		return bramleyfall.WrongUpstream
+	}
+	return bramleyfall.OK
+}
+
+// opensUDP reports whether a UDP packet opens a flow because no upstream on its
+// lists owns one.
+func (g *FlowGate) opensUDP(p *bramleyfall.Packet, list *bramleyfall.HopList, now time.Time) bool {
+	return p.Flow.Protocol == bramleyfall.UDP && list.Last() && !list.More && !g.upstream.adopting(now)
+}
+
+func drop(p *bramleyfall.Packet, code bramleyfall.ResultCode) bramleyfall.Action {
+	return bramleyfall.Action{Kind: bramleyfall.ActionDrop, Code: code, Flow: p.Flow}
+}
+
 // starting reports whether the agent has yet to learn its configuration or its
 // upstream. A packet that was passed on then would end in a reset of a flow that
 // may be adopted a moment later.
@@ -242,10 +260,6 @@
 	return !ready && now.Sub(g.epoch) < startGrace
 }
 
-func drop(p *bramleyfall.Packet, code bramleyfall.ResultCode) bramleyfall.Action {
-	return bramleyfall.Action{Kind: bramleyfall.ActionDrop, Code: code, Flow: p.Flow}
-}
-
 // passOn sends the packet to the next hop. From the last hop an opening is
 // refused and any other packet reset.
 func (g *FlowGate) passOn(p *bramleyfall.Packet, list *bramleyfall.HopList, code bramleyfall.ResultCode) bramleyfall.Action {
--- a/scenario/main.go
+++ b/scenario/main.go
@@ -23,7 +23,7 @@
 func run(args []string) int {
 	s := settings.New("scenario", "runs scenario files: scenario [flags] file ...")
 	programs := s.String("programs", "bin", "folder of the built programs")
-	verbose := s.Bool("progress", true, "print progress")
+	verbose := s.Bool("verbose", false, "print each command with its output")
 	keep := s.Bool("keep", false, "keep the folder with logs and ledgers")
 	check := func() {
 		if s.NArg() == 0 {
