--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 LINT_VERSION := v2.15.0
-MODULES := . agent balancer bramley scenario standin
+MODULES := . agent balancer bench bramley scenario standin
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 PROGRAMS := $(foreach m,$(filter-out .,$(MODULES)),./$(m))
 
-.PHONY: build demo test lint format tools
+.PHONY: build bench demo test lint format tools
 
 build:
 	go build -o bin/ $(PROGRAMS)
@@ -11,6 +11,9 @@
 demo: build
 	bin/scenario scenario/testdata/demo.txtar
 
+bench: build
+	bin/bench
+
 test: build
 	go test -count=1 $(PACKAGES)
 
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -11,6 +11,7 @@
 
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/configuration"
+	"bramleyfall.example/bramleyfall/fabric"
 	"bramleyfall.example/bramleyfall/geneve"
 	"bramleyfall.example/bramleyfall/operator"
 	"bramleyfall.example/bramleyfall/peer"
@@ -43,7 +44,7 @@
 	clock     bramleyfall.Clock
 	telemetry *telemetry.Telemetry
 	recorder  bramleyfall.Recorder
-	fresh     *freshness
+	fresh     *fabric.Freshness
 	tasks     *ring.Ring[func()]
 	pulls     *ring.Ring[pull]
 	lastPull  time.Time
@@ -111,13 +112,13 @@
 func (c *controller) receive(d *peerpb.Datagram) {
 	c.send(c.node.Receive(d, c.clock.Now()))
 	if state := c.node.State(); state.Revision() >= state.Newest() {
-		c.fresh.heardNewest()
+		c.fresh.HeardNewest()
 	}
 }
 
 func (c *controller) tick() {
 	now := c.clock.Now()
-	if c.fresh.tick(now) {
+	if c.fresh.Tick(now) {
 		c.telemetry.Log.Warn().Str("Event", "Paused").Str("Reason", "the process stood still; waiting for the newest configuration").Msg("")
 	}
 	c.send(c.node.Tick(now))
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -14,6 +14,7 @@
 
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/configuration"
+	"bramleyfall.example/bramleyfall/fabric"
 	"bramleyfall.example/bramleyfall/geneve"
 	"bramleyfall.example/bramleyfall/operator"
 	"bramleyfall.example/bramleyfall/operator/operatorpb"
@@ -42,7 +43,7 @@
 	packets    *geneve.Conn
 	control    *geneve.Conn
 	platform   *platform.Client
-	forwarder  *forwarder
+	forwarder  *fabric.Forwarder
 	controller *controller
 	recorder   *trace.Writer
 	leaving    chan struct{}
@@ -95,7 +96,7 @@
 	}
 	node := peer.NewNode(self, configuration.New(), now, peer.WithSeed(uint64(now.UnixNano())))
 	node.SetContacts(s.config.Peers)
-	fresh := newFreshness(now)
+	fresh := fabric.NewFreshness(now)
 	s.controller = &controller{
 		node: node, table: table, conn: s.control, keys: s.config.Keys, clock: s.clock,
 		telemetry: s.telemetry, fresh: fresh,
@@ -104,15 +105,15 @@
 		client: s.config.Keys.Client(s.clock, pullTimeout),
 		done:   make(chan struct{}),
 	}
-	s.forwarder = &forwarder{
-		conn: s.packets, table: table, fabric: s.config.Fabric, keys: s.config.Keys, clock: s.clock,
-		fresh: fresh, telemetry: s.telemetry, notices: s.controller.noticed,
-		counts: newForwardCounts(s.telemetry),
+	options := []fabric.Option{
+		fabric.WithAnswers(s.config.Fabric), fabric.WithNotices(s.config.Keys, s.controller.noticed),
+		fabric.WithClock(s.clock), fabric.WithFreshness(fresh),
 	}
 	if s.recorder != nil {
 		s.controller.recorder = s.recorder
-		s.forwarder.recorder = s.recorder
+		options = append(options, fabric.WithRecorder(s.recorder))
 	}
+	s.forwarder = fabric.NewForwarder(s.packets, table, s.telemetry, options...)
 	s.telemetry.SetReady(s.ready)
 }
 
@@ -144,7 +145,7 @@
 	duties.Go(func() { s.controller.runReceive(background) })
 	duties.Go(func() { s.controller.runPull(background) })
 	duties.Go(func() { s.runPlatform(background) })
-	duties.Go(s.forwarder.run)
+	duties.Go(s.forwarder.Run)
 	if err := s.listenHTTP(); err != nil {
 		cancel()
 		return err
@@ -167,8 +168,7 @@
 	close(s.leaving)
 	time.Sleep(drainTime)
 	cancel()
-	s.forwarder.stopping.Store(true)
-	_ = s.packets.Close()
+	_ = s.forwarder.Close()
 	time.Sleep(tickEvery)
 	_ = s.control.Close()
 	for _, h := range s.servers {
--- a/balancer/forward.go
+++ b/fabric/forwarder.go
@@ -1,4 +1,6 @@
-package main
+// Package fabric speaks to the fabric on behalf of a balancer: it takes the
+// packets that the fabric hands over and sends each to the first of its hops.
+package fabric
 
 import (
 	"sync/atomic"
@@ -23,15 +25,15 @@
 	malformedSample = 100
 )
 
-// forwarder is the packet duty of the balancer: it reads, decides and writes
-// in one thread.
-type forwarder struct {
+// Forwarder is the packet duty of a balancer: it reads, decides and writes in
+// one thread.
+type Forwarder struct {
 	conn      *geneve.Conn
 	table     *upstream.Table
 	fabric    bramleyfall.Endpoint
 	keys      *peer.Keys
 	clock     bramleyfall.Clock
-	fresh     *freshness
+	fresh     *Freshness
 	telemetry *telemetry.Telemetry
 	recorder  bramleyfall.Recorder
 	notices   func(*peerpb.Notice)
@@ -43,6 +45,46 @@
 	counts  forwardCounts
 }
 
+// Option sets an option of a Forwarder.
+type Option func(*Forwarder)
+
+// WithAnswers sets the address that resets to callers are sent to.
+func WithAnswers(to bramleyfall.Endpoint) Option { return func(f *Forwarder) { f.fabric = to } }
+
+// WithNotices sets the keys that notices of agents are sealed with, and what is
+// done with the notices.
+func WithNotices(keys *peer.Keys, handle func(*peerpb.Notice)) Option {
+	return func(f *Forwarder) { f.keys, f.notices = keys, handle }
+}
+
+// WithRecorder records a trace of the decisions.
+func WithRecorder(r bramleyfall.Recorder) Option { return func(f *Forwarder) { f.recorder = r } }
+
+// WithClock sets the clock, which is the system's otherwise.
+func WithClock(c bramleyfall.Clock) Option { return func(f *Forwarder) { f.clock = c } }
+
+// WithFreshness drops packets while fresh says that the table may be out of
+// date.
+func WithFreshness(fresh *Freshness) Option { return func(f *Forwarder) { f.fresh = fresh } }
+
+// NewForwarder returns a forwarder of the packets that arrive at conn.
+func NewForwarder(conn *geneve.Conn, table *upstream.Table, t *telemetry.Telemetry, options ...Option) *Forwarder {
+	f := &Forwarder{
+		conn: conn, table: table, telemetry: t, counts: newForwardCounts(t),
+		clock: bramleyfall.SystemClock(), keys: peer.NewKeys(), notices: func(*peerpb.Notice) {},
+	}
+	for _, o := range options {
+		o(f)
+	}
+	return f
+}
+
+// Close ends Run.
+func (f *Forwarder) Close() error {
+	f.stopping.Store(true)
+	return f.conn.Close()
+}
+
 type forwardCounts struct {
 	packets, bytes, openings, refused, malformed, unknown, stale, notices, badSeal *metrics.Counter
 }
@@ -61,8 +103,8 @@
 	}
 }
 
-// run forwards packets until the socket is closed.
-func (f *forwarder) run() {
+// Run forwards packets until Close.
+func (f *Forwarder) Run() {
 	f.sender = geneve.NewSender(f.conn)
 	receiver := geneve.NewReceiver()
 	for {
@@ -73,7 +115,7 @@
 			}
 			continue
 		}
-		if f.fresh.stale(f.clock.Now()) {
+		if f.fresh != nil && f.fresh.Stale(f.clock.Now()) {
 			f.counts.stale.Add(n)
 			continue
 		}
@@ -84,7 +126,7 @@
 	}
 }
 
-func (f *forwarder) packet(data []byte) {
+func (f *Forwarder) packet(data []byte) {
 	f.counts.packets.Inc()
 	f.counts.bytes.Add(len(data))
 	m := &f.message
@@ -117,7 +159,7 @@
 	f.sender.Add(m.List.Hops[0].Address)
 }
 
-func (f *forwarder) record(m *geneve.Message, opening bool, page uint8, code bramleyfall.ResultCode) {
+func (f *Forwarder) record(m *geneve.Message, opening bool, page uint8, code bramleyfall.ResultCode) {
 	if f.recorder == nil {
 		return
 	}
@@ -133,7 +175,7 @@
 	f.recorder.Record(e)
 }
 
-func (f *forwarder) logOpening() {
+func (f *Forwarder) logOpening() {
 	f.counts.openings.Inc()
 	l := &f.message.List
 	flow := f.message.Packet.Flow
@@ -147,7 +189,7 @@
 }
 
 // malformed drops a bad packet, counts it and logs a sample.
-func (f *forwarder) malformed(err error) {
+func (f *Forwarder) malformed(err error) {
 	f.counts.malformed.Inc()
 	if f.counts.malformed.Get()%malformedSample == 1 {
 		f.telemetry.Log.Warn().Str("Event", "MalformedPacket").Str("Reason", err.Error()).Msg("")
@@ -156,7 +198,7 @@
 
 // unrouted answers a packet that has nowhere to go. An opening is refused at
 // once: no upstream received it.
-func (f *forwarder) unrouted(code bramleyfall.ResultCode, opening bool) {
+func (f *Forwarder) unrouted(code bramleyfall.ResultCode, opening bool) {
 	p := &f.message.Packet
 	if code == bramleyfall.UnknownService {
 		f.counts.unknown.Inc()
@@ -183,7 +225,7 @@
 	}
 }
 
-func (f *forwarder) encodeAnswer(buffer gopacket.SerializeBuffer, code bramleyfall.ResultCode, opening bool, raw []byte) error {
+func (f *Forwarder) encodeAnswer(buffer gopacket.SerializeBuffer, code bramleyfall.ResultCode, opening bool, raw []byte) error {
 	if opening {
 		return f.codec.EncodeRefusal(buffer, code, noUpstreamRetry, raw)
 	}
@@ -192,7 +234,7 @@
 
 // notice takes an agent's word about the owner of a flow or about newer
 // configuration. Without a good seal it changes nothing.
-func (f *forwarder) notice(sealed []byte) {
+func (f *Forwarder) notice(sealed []byte) {
 	body, err := f.keys.Open(peer.PurposeNotice, sealed)
 	var n peerpb.Notice
 	if err == nil {
--- a/balancer/freshness.go
+++ b/fabric/freshness.go
@@ -1,4 +1,4 @@
-package main
+package fabric
 
 import (
 	"sync/atomic"
@@ -14,28 +14,29 @@
 	staleLimit = 1500 * time.Millisecond
 )
 
-// freshness keeps a process that was paused from forwarding by a table that
+// Freshness keeps a process that was paused from forwarding by a table that
 // may be out of date, until it has heard of the newest configuration.
-type freshness struct {
+type Freshness struct {
 	lastTick   atomic.Int64
 	staleUntil atomic.Int64
 }
 
-func newFreshness(now time.Time) *freshness {
-	f := &freshness{}
+// NewFreshness returns the state of a process that started at now.
+func NewFreshness(now time.Time) *Freshness {
+	f := &Freshness{}
 	f.lastTick.Store(now.UnixNano())
 	return f
 }
 
-// tick notes that the control thread runs, and reports whether the process was
+// Tick notes that the control thread runs, and reports whether the process was
 // paused before.
-func (f *freshness) tick(now time.Time) bool {
+func (f *Freshness) Tick(now time.Time) bool {
 	paused := f.notePause(now)
 	f.lastTick.Store(now.UnixNano())
 	return paused
 }
 
-func (f *freshness) notePause(now time.Time) bool {
+func (f *Freshness) notePause(now time.Time) bool {
 	if now.UnixNano()-f.lastTick.Load() <= int64(pauseBound) {
 		return false
 	}
@@ -43,12 +44,12 @@
 	return true
 }
 
-// stale reports whether packets must not be forwarded at now.
-func (f *freshness) stale(now time.Time) bool {
+// Stale reports whether packets must not be forwarded at now.
+func (f *Freshness) Stale(now time.Time) bool {
 	f.notePause(now)
 	until := f.staleUntil.Load()
 	return until != 0 && now.UnixNano() < until
 }
 
-// heardNewest ends the waiting.
-func (f *freshness) heardNewest() { f.staleUntil.Store(0) }
+// HeardNewest ends the waiting.
+func (f *Freshness) HeardNewest() { f.staleUntil.Store(0) }
--- a/upstream/entry.go
+++ b/upstream/entry.go
@@ -12,6 +12,7 @@
 // announce it. Agents that operators do not allow, and those in failure domains
 // out of service, are left out.
 func BuildEntry(service *bramleyfall.Service, state *configuration.State, agents []bramleyfall.Member) *Entry {
+	agents = slices.SortedFunc(slices.Values(agents), func(a, b bramleyfall.Member) int { return cmp.Compare(a.ID, b.ID) })
 	entry := &Entry{Name: service.Name, Revision: state.Revision()}
 	for i := range agents {
 		m := &agents[i]
@@ -21,11 +22,11 @@
 		if state.DomainState(m.Domain) == bramleyfall.DomainOut {
 			continue
 		}
+		entry.Names = append(entry.Names, m.ID)
 		entry.Candidates = append(entry.Candidates, Candidate{
-			Name: m.ID, Upstream: m.Key(), Boot: m.UpstreamBoot, Address: m.Packets,
+			Upstream: m.Key(), Boot: m.UpstreamBoot, Address: m.Packets,
 			Open: m.State == bramleyfall.MemberServing && !state.Drained(m.ID),
 		})
 	}
-	slices.SortFunc(entry.Candidates, func(a, b Candidate) int { return cmp.Compare(a.Upstream, b.Upstream) })
 	return entry
 }
--- a/upstream/table.go
+++ b/upstream/table.go
@@ -2,6 +2,7 @@
 package upstream
 
 import (
+	"maps"
 	"slices"
 	"sync/atomic"
 
@@ -10,7 +11,6 @@
 
 // Candidate is an upstream that may serve a service.
 type Candidate struct {
-	Name     bramleyfall.InstanceID
 	Upstream bramleyfall.InstanceKey
 	Boot     bramleyfall.BootID
 	Address  bramleyfall.Endpoint
@@ -24,13 +24,15 @@
 	Name       bramleyfall.ServiceName
 	Revision   bramleyfall.Revision
 	Candidates []Candidate
+	// Names holds the id of each candidate, apart from what packets need.
+	Names []bramleyfall.InstanceID
 }
 
 // NameOf returns the id of the candidate with the given key.
 func (e *Entry) NameOf(key bramleyfall.InstanceKey) bramleyfall.InstanceID {
 	for i := range e.Candidates {
 		if e.Candidates[i].Upstream == key {
-			return e.Candidates[i].Name
+			return e.Names[i]
 		}
 	}
 	return ""
@@ -102,6 +104,25 @@
 	}
 }
 
+// SetAll sets count services at once, as Set does for each.
+func (t *Table) SetAll(count int, service func(n int) (*Entry, []bramleyfall.ServiceAddress)) {
+	next := maps.Clone(*t.addresses.Load())
+	for n := range count {
+		entry, addresses := service(n)
+		s, ok := t.slots[entry.Name]
+		if !ok {
+			s = &slot{key: entry.Name.Key()}
+			t.slots[entry.Name] = s
+		}
+		s.current.Store(entry)
+		t.published[entry.Name] = slices.Clone(addresses)
+		for _, a := range addresses {
+			next[address{a.Endpoint, a.Protocol}] = s
+		}
+	}
+	t.addresses.Store(&next)
+}
+
 // Delete removes a service.
 func (t *Table) Delete(name bramleyfall.ServiceName) {
 	t.publish(name, nil)
