--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 LINT_VERSION := v2.15.0
-MODULES := . agent balancer bench bramley scenario standin
+MODULES := . agent balancer bench bramley replay scenario standin
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 PROGRAMS := $(foreach m,$(filter-out .,$(MODULES)),./$(m))
 
--- a/agent/decide.go
+++ b/agent/decide.go
@@ -15,6 +15,7 @@
 	"bramleyfall.example/bramleyfall/peer"
 	"bramleyfall.example/bramleyfall/peer/peerpb"
 	"bramleyfall.example/bramleyfall/telemetry"
+	"bramleyfall.example/bramleyfall/trace"
 )
 
 const (
@@ -33,7 +34,7 @@
 // announcer.
 type decider struct {
 	server     *server
-	gate       *caller.FlowGate
+	gate       *trace.Gate
 	announcer  *peer.Announcer
 	codec      geneve.Codec
 	message    geneve.Message
@@ -125,8 +126,8 @@
 		return
 	}
 	if in.fromUpstream {
-		d.act(d.gate.FromUpstream(&m.Packet, now), now)
-		d.all(d.gate.Settle(now), now)
+		d.act(d.gate.FromUpstream(&m.Packet, now))
+		d.all(d.gate.Settle(now))
 		return
 	}
 	if !m.HasHops {
@@ -135,7 +136,7 @@
 	}
 	revision := m.List.Revision
 	action := d.gate.FromCaller(&m.Packet, &m.List, now)
-	d.act(action, now)
+	d.act(action)
 	d.afterPacket(action, revision, now)
 }
 
@@ -188,10 +189,9 @@
 }
 
 // act carries out an action on the packet in d.message.
-func (d *decider) act(a bramleyfall.Action, now time.Time) {
+func (d *decider) act(a bramleyfall.Action) {
 	d.counts.actions[a.Kind].Inc()
 	d.log(&a)
-	d.record(&a, now)
 	m := &d.message
 	raw := m.Packet.Raw
 	list := &m.List
@@ -266,14 +266,3 @@
 		Str("Upstream", string(d.server.config.ID)).Str("Reason", a.Code.String()).
 		Uint64("Revision", uint64(d.announcer.Revision())).Int("Flows", d.gate.Flows()).Int("Waiting", d.gate.Busy()).Msg("")
 }
-
-func (d *decider) record(a *bramleyfall.Action, now time.Time) {
-	if d.server.recorder == nil {
-		return
-	}
-	flow := a.Flow
-	d.server.recorder.Record(bramleyfall.TraceEvent{
-		Kind: bramleyfall.TraceGate, At: now, Instance: d.server.config.ID, Flow: &flow, Action: a.Kind, Code: a.Code,
-		Opening: d.message.Packet.Kind == bramleyfall.KindOpening,
-	})
-}
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -72,7 +72,10 @@
 }
 
 func (s *server) open() error {
-	var err error
+	err := peer.CheckChart()
+	if err != nil {
+		return err
+	}
 	if s.tunnel, err = geneve.Listen(s.config.Packets); err != nil {
 		return err
 	}
@@ -108,7 +111,7 @@
 		Packets: s.config.AdvertisePackets, Control: s.config.AdvertiseControl, Services: s.config.Services,
 	}
 	s.decider = &decider{
-		server: s, gate: gate,
+		server: s, gate: s.recorded(gate, now),
 		announcer: peer.NewAnnouncer(self, s.config.Balancers, uint64(now.UnixNano())),
 		noticed:   make(map[bramleyfall.Endpoint]time.Time),
 		counts:    newDecisionCounts(s.telemetry),
@@ -126,6 +129,18 @@
 	return nil
 }
 
+// recorded returns the gate with its trace, where one is asked for.
+func (s *server) recorded(gate *caller.FlowGate, now time.Time) *trace.Gate {
+	var recorder bramleyfall.Recorder
+	if s.recorder != nil {
+		recorder = s.recorder
+	}
+	return trace.NewGate(gate, recorder, s.config.ID, bramleyfall.GateTrace{
+		Upstream: bramleyfall.KeyOf(string(s.config.ID)), Slots: s.config.Slots, Connections: s.config.Connections,
+		WarmUp: bramleyfall.Duration(s.config.WarmUp), SilentAfter: bramleyfall.Duration(s.config.SilentAfter),
+	}, now)
+}
+
 func (s *server) run(signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/agent/state.go
+++ b/agent/state.go
@@ -3,22 +3,22 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/caller"
 	"bramleyfall.example/bramleyfall/configuration"
 	"bramleyfall.example/bramleyfall/peer"
 	"bramleyfall.example/bramleyfall/peer/peerpb"
-
-	"google.golang.org/protobuf/proto"
 )
 
 // tick does what is due.
 func (d *decider) tick() {
 	now := d.server.clock.Now()
-	d.all(d.gate.Settle(now), now)
+	d.all(d.gate.Settle(now))
 	if now.After(d.nextSweep) {
 		d.nextSweep = now.Add(sweepEvery)
-		d.all(d.gate.Sweep(now), now)
+		d.all(d.gate.Sweep(now))
 	}
 	d.announce()
 	d.send(d.announcer.Tick(now))
@@ -27,29 +27,23 @@
 }
 
 // all carries out actions that no packet in d.message belongs to.
-func (d *decider) all(actions []bramleyfall.Action, now time.Time) {
+func (d *decider) all(actions []bramleyfall.Action) {
 	d.message.Packet.Kind = bramleyfall.KindData
 	for _, a := range actions {
-		d.act(a, now)
+		d.act(a)
 	}
 }
 
 // announce tells the balancers the state of the upstream.
 func (d *decider) announce() {
-	state := bramleyfall.MemberDraining
-	switch d.gate.State() {
-	case caller.UpstreamWarming, caller.UpstreamServing:
-		state = bramleyfall.MemberServing
-	}
-	if d.leaving {
-		state = bramleyfall.MemberDraining
-	}
-	d.announcer.Announce(state, d.gate.Boot())
+	state := d.gate.State()
+	serving := !d.leaving && (state == caller.UpstreamWarming || state == caller.UpstreamServing)
+	d.announcer.Announce(serving, d.gate.Boot())
 	d.announcer.SetLoad(d.gate.Flows(), d.gate.Busy())
-	d.server.serving.Store(state == bramleyfall.MemberServing)
-	if s := d.gate.State(); s != d.lastState {
-		d.lastState = s
-		d.server.telemetry.Log.Info().Str("Event", "Upstream").Str("State", string(s)).
+	d.server.serving.Store(serving)
+	if state != d.lastState {
+		d.lastState = state
+		d.server.telemetry.Log.Info().Str("Event", "Upstream").Str("State", string(state)).
 			Uint64("Boot", uint64(d.gate.Boot())).Int("Flows", d.gate.Flows()).Msg("")
 	}
 }
@@ -93,7 +87,7 @@
 		}
 	}
 	d.gate.SetServices(allowed)
-	d.all(d.gate.SetDomain(state.DomainState(d.server.config.Domain)), now)
+	d.all(d.gate.SetDomain(state.DomainState(d.server.config.Domain)))
 	d.drainAsAsked(now)
 	d.server.telemetry.Log.Info().Str("Event", "Configured").Uint64("Revision", uint64(d.announcer.Revision())).
 		Int("Services", len(allowed)).Str("Domain", string(state.DomainState(d.server.config.Domain))).Msg("")
@@ -115,7 +109,7 @@
 // upstreamAnswers takes what the upstream says of itself.
 func (d *decider) upstreamAnswers(h health) {
 	now := d.server.clock.Now()
-	d.all(d.gate.UpstreamStarted(h.Boot, time.Unix(0, int64(h.Boot)), now), now)
+	d.all(d.gate.UpstreamStarted(h.Boot, time.Unix(0, int64(h.Boot)), now))
 	d.asksDrain = h.Draining
 	d.drainAsAsked(now)
 }
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -222,6 +222,7 @@
 		return
 	}
 	entry := upstream.BuildEntry(&service, state, c.node.Serving(name))
+	c.record(entry, service.Addresses)
 	c.table.Set(entry, service.Addresses)
 	c.routed[name] = true
 	open := 0
@@ -234,6 +235,22 @@
 		Int("Upstreams", len(entry.Candidates)).Int("Open", open).Uint64("Revision", uint64(entry.Revision)).Msg("")
 }
 
+// record notes a routing entry before it is in force.
+func (c *controller) record(entry *upstream.Entry, addresses []bramleyfall.ServiceAddress) {
+	if c.recorder == nil {
+		return
+	}
+	e := bramleyfall.TraceEvent{
+		Kind: bramleyfall.TraceTable, At: c.clock.Now(), Service: entry.Name, Addresses: addresses, Revision: entry.Revision,
+	}
+	for i, candidate := range entry.Candidates {
+		e.Candidates = append(e.Candidates, bramleyfall.CandidateTrace{
+			Name: entry.Names[i], Boot: candidate.Boot, Address: candidate.Address, Open: candidate.Open,
+		})
+	}
+	c.recorder.Record(e)
+}
+
 // noticed takes an agent's word about newer configuration.
 func (c *controller) noticed(n *peerpb.Notice) {
 	if n.Revision == 0 {
@@ -288,9 +305,6 @@
 		c.telemetry.Log.Error().Str("Event", "BadChange").Str("Change", string(change.ID)).Str("Reason", err.Error()).Msg("")
 		return
 	}
-	if c.recorder != nil {
-		c.recorder.Record(bramleyfall.TraceEvent{Kind: bramleyfall.TraceChange, At: c.clock.Now(), Change: &change})
-	}
 	if c.node.State().Revision() != before {
 		c.telemetry.Log.Info().Str("Event", "Change").Str("Change", string(change.ID)).Str("Key", change.Key).
 			Uint64("Revision", uint64(change.Revision)).Str("Source", source).Msg("")
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -66,7 +66,10 @@
 }
 
 func (s *server) open() error {
-	var err error
+	err := peer.CheckChart()
+	if err != nil {
+		return err
+	}
 	if s.packets, err = geneve.Listen(s.config.Packets); err != nil {
 		return err
 	}
@@ -180,7 +183,10 @@
 // listenHTTP serves operators and peers on the control address, metrics and
 // readiness on the HTTP address.
 func (s *server) listenHTTP() error {
-	service := operator.NewService(s.controller, platform.NewWriter(s.platform, s.clock))
+	service, err := operator.NewService(s.controller, platform.NewWriter(s.platform, s.clock))
+	if err != nil {
+		return err
+	}
 	control := http.NewServeMux()
 	control.Handle(operatorpb.OperatorPathPrefix, operatorpb.NewOperatorServer(service))
 	control.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(s.controller))
--- /dev/null
+++ b/configuration/chart.go
@@ -0,0 +1,36 @@
+package configuration
+
+import (
+	_ "embed" // for the state chart
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/chart"
+)
+
+//go:embed domain.chart
+var domainChartText string
+
+// DomainEvent is what operators do with a failure domain.
+type DomainEvent string
+
+// The events of a failure domain.
+const (
+	DomainTakenOut DomainEvent = "TakenOut"
+	DomainReturned DomainEvent = "Returned"
+)
+
+// NextDomainState returns the state of a failure domain after an event. The
+// error names a fault in the chart or a transition that it does not have.
+func NextDomainState(state bramleyfall.DomainState, event DomainEvent) (bramleyfall.DomainState, error) {
+	c, err := chart.Parse("configuration/domain.chart", domainChartText,
+		[]string{string(bramleyfall.DomainIn), string(bramleyfall.DomainOut)},
+		[]string{string(DomainTakenOut), string(DomainReturned)})
+	if err != nil {
+		return state, err
+	}
+	next, ok := c.Fire(c.State(string(state)), c.Event(string(event)))
+	if !ok {
+		return state, bramleyfall.Errorf(bramleyfall.NotAccepted, "a failure domain that is %s can't be %s", state, event)
+	}
+	return bramleyfall.DomainState(c.Name(next)), nil
+}
--- a/fabric/forwarder.go
+++ b/fabric/forwarder.go
@@ -169,7 +169,7 @@
 	}
 	if code == bramleyfall.OK {
 		for _, h := range m.List.Hops[:m.List.Count] {
-			e.Hops = append(e.Hops, bramleyfall.HopTrace{Upstream: h.Upstream, Boot: h.Boot})
+			e.Hops = append(e.Hops, h.Upstream)
 		}
 	}
 	f.recorder.Record(e)
@@ -246,7 +246,11 @@
 	}
 	f.counts.notices.Inc()
 	if n.Owner != 0 {
-		f.table.Hint(n.FlowHash, bramleyfall.InstanceKey(n.Owner))
+		owner := bramleyfall.InstanceKey(n.Owner)
+		f.table.Hint(n.FlowHash, owner)
+		if f.recorder != nil {
+			f.recorder.Record(bramleyfall.TraceEvent{Kind: bramleyfall.TraceHint, At: f.clock.Now(), Hash: n.FlowHash, Owner: owner})
+		}
 	}
 	f.notices(&n)
 }
--- a/geneve/encode.go
+++ b/geneve/encode.go
@@ -148,5 +148,5 @@
 	}
 }
 
-// TCPPayload returns the payload of a raw IPv4 packet with TCP inside.
-func TCPPayload(p *bramleyfall.Packet) []byte { return p.Raw[len(p.Raw)-int(p.Length):] }
+// Payload returns the payload after the transport header.
+func Payload(p *bramleyfall.Packet) []byte { return p.Raw[len(p.Raw)-int(p.Length):] }
--- a/member.go
+++ b/member.go
@@ -10,13 +10,12 @@
 )
 
 // MemberState is the state of an instance as the members know it. The state
-// chart in chart/instance.chart gives the transitions.
+// chart in peer/instance.chart gives the transitions.
 type MemberState string
 
 // The states of an instance.
 const (
 	MemberServing  MemberState = "Serving"
-	MemberSuspect  MemberState = "Suspect"
 	MemberDraining MemberState = "Draining"
 	MemberLost     MemberState = "Lost"
 	MemberLeft     MemberState = "Left"
--- a/operator/edit.go
+++ b/operator/edit.go
@@ -32,9 +32,9 @@
 	case s.Undrain != nil:
 		return proposeDrain(s.Undrain.Value, false)
 	case s.Take != nil:
-		return proposeDomain(s.Take.Value, bramleyfall.DomainOut)
+		return proposeDomain(s.Take.Value, configuration.DomainTakenOut)
 	case s.Return != nil:
-		return proposeDomain(s.Return.Value, bramleyfall.DomainIn)
+		return proposeDomain(s.Return.Value, configuration.DomainReturned)
 	case s.Set != nil:
 		return proposeSet(s.Set)
 	case s.Delete != nil:
@@ -170,9 +170,23 @@
 	return setValue(configuration.UpstreamKey(order.ID), order), checkName(id)
 }
 
-func proposeDomain(name string, state bramleyfall.DomainState) (platform.Proposal, error) {
-	domain := bramleyfall.Domain{Name: bramleyfall.DomainName(name), State: state}
-	return setValue(configuration.DomainKey(domain.Name), domain), checkName(name)
+func proposeDomain(name string, event configuration.DomainEvent) (platform.Proposal, error) {
+	return platform.Proposal{
+		Key: configuration.DomainKey(bramleyfall.DomainName(name)),
+		Edit: func(current json.RawMessage) (json.RawMessage, error) {
+			domain := bramleyfall.Domain{Name: bramleyfall.DomainName(name), State: bramleyfall.DomainIn}
+			if current != nil {
+				if err := json.Unmarshal(current, &domain); err != nil {
+					return nil, err
+				}
+			}
+			var err error
+			if domain.State, err = configuration.NextDomainState(domain.State, event); err != nil {
+				return nil, err
+			}
+			return json.Marshal(domain)
+		},
+	}, checkName(name)
 }
 
 func proposeSet(s *Set) (platform.Proposal, error) {
--- a/operator/service.go
+++ b/operator/service.go
@@ -20,13 +20,16 @@
 type Service struct {
 	control Control
 	writer  *platform.Writer
+	chart   *changeChart
 }
 
 var _ operatorpb.Operator = (*Service)(nil)
 
-// NewService returns the service of a balancer.
-func NewService(control Control, writer *platform.Writer) *Service {
-	return &Service{control: control, writer: writer}
+// NewService returns the service of a balancer. The error names a fault in the
+// chart of changes.
+func NewService(control Control, writer *platform.Writer) (*Service, error) {
+	c, err := newChangeChart()
+	return &Service{control: control, writer: writer, chart: c}, err
 }
 
 // Execute implements operatorpb.Operator. Faults of the statement and refusals
@@ -99,7 +102,7 @@
 		return reply, nil
 	}
 	s.control.Changed(change)
-	return accepted(change), nil
+	return accepted(change, s.chart.codeAfter(eventCommitted)), nil
 }
 
 // alreadyAccepted answers a command that is asked for again, before it is held
@@ -109,7 +112,7 @@
 	if err != nil || !found {
 		return nil, false
 	}
-	return accepted(change), true
+	return accepted(change, s.chart.codeAfter(eventFound)), true
 }
 
 func (s *Service) check(statement *Statement, view *View, force bool) error {
@@ -119,9 +122,9 @@
 	return checkSafe(statement, view, force)
 }
 
-func accepted(c bramleyfall.Change) *operatorpb.ExecuteReply {
+func accepted(c bramleyfall.Change, code bramleyfall.ResultCode) *operatorpb.ExecuteReply {
 	return &operatorpb.ExecuteReply{
-		Code: int32(bramleyfall.Accepted), ChangeId: string(c.ID), Revision: uint64(c.Revision),
+		Code: int32(code), ChangeId: string(c.ID), Revision: uint64(c.Revision),
 		Message: fmt.Sprintf("change %s is accepted at revision %d", c.ID, c.Revision),
 	}
 }
@@ -149,21 +152,21 @@
 	change, found, err := s.find(ctx, id)
 	if err != nil {
 		return &operatorpb.ExecuteReply{
-			Code: int32(bramleyfall.Unknown), ChangeId: string(id),
+			Code: int32(s.chart.codeAfter(eventAnswerLost)), ChangeId: string(id),
 			Message: fmt.Sprintf("the platform does not answer (%v); ask again with: show change %s", err, id),
 		}
 	}
 	if !found {
 		return &operatorpb.ExecuteReply{
-			Code: int32(bramleyfall.NotAccepted), ChangeId: string(id),
+			Code: int32(s.chart.codeAfter(eventMissing)), ChangeId: string(id),
 			Message: fmt.Sprintf("change %s was not accepted, or longer ago than the last 1000 changes", id),
 		}
 	}
 	s.control.Changed(change)
 	spread := s.control.Spread(change.Revision)
-	reply := accepted(change)
+	reply := accepted(change, s.chart.codeAfter(eventFound, eventSomeLag))
 	if spread.Lagging == 0 {
-		reply.Code = int32(bramleyfall.InForce)
+		reply.Code = int32(s.chart.codeAfter(eventFound, eventAllReported))
 		reply.Message = fmt.Sprintf("change %s at revision %d is in force at all %d instances", id, change.Revision, spread.Instances)
 		return reply
 	}
--- a/packet.go
+++ b/packet.go
@@ -1,5 +1,10 @@
 package bramleyfall
 
+import (
+	"fmt"
+	"slices"
+)
+
 // MaxHops is the greatest number of hops in a packet's hop list.
 const MaxHops = 4
 
@@ -57,6 +62,21 @@
 	KindReset
 )
 
+var packetKinds = []string{"Data", "Opening", "OpeningReply", "Finish", "Reset"}
+
+// MarshalText writes the name of k.
+func (k PacketKind) MarshalText() ([]byte, error) { return []byte(packetKinds[k]), nil }
+
+// UnmarshalText reads the name of a kind.
+func (k *PacketKind) UnmarshalText(text []byte) error {
+	i := slices.Index(packetKinds, string(text))
+	if i < 0 {
+		return fmt.Errorf("unknown kind of packet %q", text)
+	}
+	*k = PacketKind(i)
+	return nil
+}
+
 // Packet is an IP packet with the header fields that decisions depend on.
 // Raw aliases the receive buffer and is valid until the next read.
 type Packet struct {
@@ -67,7 +87,7 @@
 	Ack      uint32
 	// Length is the number of payload bytes after the transport header.
 	Length uint32
-	Raw    []byte
+	Raw    []byte `json:"-"`
 }
 
 // End returns the sequence number that follows the packet.
--- a/peer/announcer.go
+++ b/peer/announcer.go
@@ -62,9 +62,15 @@
 // Self returns the agent's own record.
 func (a *Announcer) Self() bramleyfall.Member { return a.self }
 
-// Announce sets what the agent says of its upstream. A change is sent at once.
-func (a *Announcer) Announce(state bramleyfall.MemberState, upstreamBoot bramleyfall.BootID) {
-	if a.self.State == state && a.self.UpstreamBoot == upstreamBoot {
+// Announce sets whether the upstream takes new flows, and its boot id. A change
+// is sent at once.
+func (a *Announcer) Announce(serving bool, upstreamBoot bramleyfall.BootID) {
+	event := eventDrained
+	if serving {
+		event = eventReturned
+	}
+	state, changed := nextState(a.self.State, event)
+	if !changed && a.self.UpstreamBoot == upstreamBoot {
 		return
 	}
 	a.self.State = state
@@ -208,7 +214,7 @@
 
 // Leave returns the heartbeats that say that the agent stops.
 func (a *Announcer) Leave(now time.Time) []Outgoing {
-	a.self.State = bramleyfall.MemberLeft
+	a.self.State, _ = nextState(a.self.State, eventStopped)
 	a.self.Version++
 	return a.heartbeats(now)
 }
--- /dev/null
+++ b/peer/chart.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	_ "embed" // for the state chart
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/chart"
+)
+
+//go:embed instance.chart
+var instanceChartText string
+
+// instanceEvent is an event of the instance chart.
+type instanceEvent string
+
+const (
+	eventHeard    instanceEvent = "Heard"
+	eventSilent   instanceEvent = "Silent"
+	eventDrained  instanceEvent = "Drained"
+	eventReturned instanceEvent = "Returned"
+	eventStopped  instanceEvent = "Stopped"
+)
+
+// CheckChart reports a fault in the instance chart. Programs call it at their
+// start.
+func CheckChart() error {
+	_, err := parseInstanceChart()
+	return err
+}
+
+func parseInstanceChart() (*chart.Chart, error) {
+	return chart.Parse("peer/instance.chart", instanceChartText,
+		[]string{
+			string(bramleyfall.MemberServing), string(bramleyfall.MemberDraining),
+			string(bramleyfall.MemberLost), string(bramleyfall.MemberLeft),
+		},
+		[]string{string(eventHeard), string(eventSilent), string(eventDrained), string(eventReturned), string(eventStopped)})
+}
+
+// instanceChart is the parsed chart. A faulty one allows no transition, and the
+// programs that CheckChart stops never use it.
+var instanceChart = func() *chart.Chart {
+	c, err := parseInstanceChart()
+	if err != nil {
+		return &chart.Chart{}
+	}
+	return c
+}()
+
+// nextState returns the state that follows on event and whether the chart has
+// that transition.
+func nextState(state bramleyfall.MemberState, event instanceEvent) (bramleyfall.MemberState, bool) {
+	next, ok := instanceChart.Fire(instanceChart.State(string(state)), instanceChart.Event(string(event)))
+	if !ok {
+		return state, false
+	}
+	return bramleyfall.MemberState(instanceChart.Name(next)), true
+}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -13,8 +13,7 @@
 var (
 	roles  = []bramleyfall.Role{bramleyfall.RoleBalancer, bramleyfall.RoleAgent}
 	states = []bramleyfall.MemberState{
-		bramleyfall.MemberServing, bramleyfall.MemberSuspect, bramleyfall.MemberDraining,
-		bramleyfall.MemberLost, bramleyfall.MemberLeft,
+		bramleyfall.MemberServing, bramleyfall.MemberDraining, bramleyfall.MemberLost, bramleyfall.MemberLeft,
 	}
 )
 
--- a/peer/node.go
+++ b/peer/node.go
@@ -333,7 +333,7 @@
 // Leave marks the node as leaving and returns the datagrams that say so.
 func (n *Node) Leave() []Outgoing {
 	n.out = nil
-	n.self.State = bramleyfall.MemberLeft
+	n.self.State, _ = nextState(n.self.State, eventStopped)
 	n.self.Version++
 	n.learn(n.self)
 	n.gossip()
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -165,7 +165,7 @@
 		return
 	}
 	if m.Role == bramleyfall.RoleAgent {
-		n.declare(m, bramleyfall.MemberLost)
+		n.declareLost(m)
 		return
 	}
 	if _, ok := n.probes.suspects[m.ID]; ok {
@@ -183,12 +183,17 @@
 		}
 		delete(n.probes.suspects, id)
 		if m := n.members.records[id]; m != nil && live(m) && !n.Isolated(now) {
-			n.declare(m, bramleyfall.MemberLost)
+			n.declareLost(m)
 		}
 	}
 }
 
-func (n *Node) declare(m *bramleyfall.Member, state bramleyfall.MemberState) {
+// declareLost tells the fleet that an instance stays silent.
+func (n *Node) declareLost(m *bramleyfall.Member) {
+	state, ok := nextState(m.State, eventSilent)
+	if !ok {
+		return
+	}
 	next := *m
 	next.State = state
 	next.Version++
--- /dev/null
+++ b/replay/main.go
@@ -0,0 +1,64 @@
+// Program replay feeds recorded traces into the decision code that made them
+// and checks the outcomes that the traces state.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/settings"
+	"bramleyfall.example/bramleyfall/trace"
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	s := settings.New("replay", "checks recorded traces: replay [flags] trace ...")
+	expect := s.String("expect", "Mismatches=0,WrongService=0", "outcomes that each trace must have, beside those that it states")
+	var outcomes []bramleyfall.TraceEvent
+	check := func() {
+		if s.NArg() == 0 {
+			s.Fault("expect", "name at least one trace")
+		}
+		for _, text := range s.Names(*expect) {
+			name, value, _ := strings.Cut(text, "=")
+			n, err := strconv.ParseInt(value, 10, 64)
+			if err != nil {
+				s.Fault("expect", "%q is not an outcome such as Mismatches=0", text)
+			}
+			outcomes = append(outcomes, bramleyfall.TraceEvent{Kind: bramleyfall.TraceOutcome, Outcome: name, Value: n})
+		}
+	}
+	return settings.Run(s, args, check, func() error {
+		for _, name := range s.Args() {
+			if err := replay(name, outcomes); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func replay(name string, outcomes []bramleyfall.TraceEvent) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	r := trace.NewReplay()
+	if err := trace.Read(file, r.Feed); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	fmt.Printf("Replay Trace=%s %s\n", name, &r.Summary)
+	for _, o := range outcomes {
+		if err := r.Feed(0, o); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -24,21 +24,22 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"deploy":    command(deployCommand),
-			"start":     command(startCommand),
-			"terminate": command(signalCommand(syscall.SIGTERM, true)),
-			"handover":  command(signalCommand(syscall.SIGHUP, true)),
-			"crash":     command(signalCommand(syscall.SIGKILL, true)),
-			"freeze":    command(signalCommand(syscall.SIGSTOP, false)),
-			"thaw":      command(signalCommand(syscall.SIGCONT, false)),
-			"call":      command(callCommand),
-			"operator":  operatorCommand,
-			"expect":    command(expectCommand),
-			"switch":    command(switchCommand),
-			"verdict":   command(verdictCommand),
-			"say":       command(sayCommand),
-			"pause":     command(pauseCommand),
-			"mark":      command(markCommand),
+			"deploy":     command(deployCommand),
+			"start":      command(startCommand),
+			"terminate":  command(signalCommand(syscall.SIGTERM, true)),
+			"handover":   command(signalCommand(syscall.SIGHUP, true)),
+			"crash":      command(signalCommand(syscall.SIGKILL, true)),
+			"freeze":     command(signalCommand(syscall.SIGSTOP, false)),
+			"thaw":       command(signalCommand(syscall.SIGCONT, false)),
+			"call":       command(callCommand("caller")),
+			"call-http3": command(callCommand("http3-caller")),
+			"operator":   operatorCommand,
+			"expect":     command(expectCommand),
+			"switch":     command(switchCommand),
+			"verdict":    command(verdictCommand),
+			"say":        command(sayCommand),
+			"pause":      command(pauseCommand),
+			"mark":       command(markCommand),
 		},
 	}
 }
@@ -90,11 +91,13 @@
 }
 
 // callCommand starts callers: call name flag=value ...
-func callCommand(d *deployment, args []string) error {
-	if len(args) < 1 {
-		return fmt.Errorf("usage: call name [flag=value]")
+func callCommand(kind string) func(*deployment, []string) error {
+	return func(d *deployment, args []string) error {
+		if len(args) < 1 {
+			return fmt.Errorf("usage: call name [flag=value]")
+		}
+		return d.call(kind, args[0], args[1:])
 	}
-	return d.call(args[0], args[1:])
 }
 
 // operatorCommand sends a statement: operator balancer [-flag ...] statement.
--- a/scenario/deployment.go
+++ b/scenario/deployment.go
@@ -122,10 +122,10 @@
 }
 
 // call starts callers with flags given as name=value.
-func (d *deployment) call(name string, settings []string) error {
+func (d *deployment) call(kind, name string, settings []string) error {
 	n := len(d.callerNames()) + 1
 	args := []string{
-		"caller", "--name", name, "--listen", fmt.Sprintf("%s.%d:5000", d.layout.outside(), 100+n),
+		kind, "--name", name, "--listen", fmt.Sprintf("%s.%d:5000", d.layout.outside(), 100+n),
 		"--fabric", d.layout.fabricCallers(), "--answered", filepath.Join(d.folder, name+".answered"),
 	}
 	for _, s := range settings {
@@ -139,7 +139,7 @@
 func (d *deployment) callerNames() []string {
 	var names []string
 	for name, s := range d.specs {
-		if s.program == "standin" && s.args[0] == "caller" {
+		if s.program == "standin" && strings.HasSuffix(s.args[0], "caller") {
 			names = append(names, name)
 		}
 	}
--- a/scenario/layout.go
+++ b/scenario/layout.go
@@ -220,12 +220,19 @@
 	d.specs[a.name] = spec{program: "agent", args: append(args, l.relayed(a)...)}
 	d.http[a.name] = "http://" + a.ip + ":7001"
 	server := "server-" + a.name
+	d.http[server] = "http://" + a.ip + ":9001"
+	if l.settings["http3"] != "" {
+		d.specs[server] = spec{program: "standin", args: []string{
+			"http3-upstream", "--service", service, "--address", l.expand("@" + service + "/443"),
+			"--listen", a.ip + ":9000", "--agent", a.ip + ":6082", "--health", a.ip + ":9001",
+		}}
+		return
+	}
 	d.specs[server] = spec{program: "standin", args: []string{
 		"upstream", "--id", a.name, "--service", service, "--listen", a.ip + ":9000", "--agent", a.ip + ":6082",
 		"--health", a.ip + ":9001", "--slots", l.settings["slots"], "--cold", l.settings["cold"], "--work", l.settings["work"],
 		"--ledger", filepath.Join(d.folder, a.name+".ledger"),
 	}}
-	d.http[server] = "http://" + a.ip + ":9001"
 }
 
 // startAll starts the processes and waits for the balancers' control threads.
--- a/standin/main.go
+++ b/standin/main.go
@@ -25,17 +25,21 @@
 	os.Exit(run(os.Args[1:]))
 }
 
+// names lists the stand-ins.
+const names = "platform, fabric, caller, upstream, http3-caller, http3-upstream"
+
 func run(args []string) int {
 	if len(args) == 0 {
-		fmt.Fprintln(os.Stderr, "standin: expected one of platform, fabric, caller, upstream")
+		fmt.Fprintln(os.Stderr, "standin: expected one of", names)
 		return settings.ExitUsage
 	}
 	programs := map[string]func([]string) int{
 		"platform": runPlatform, "fabric": runFabric, "caller": runCaller, "upstream": runUpstream,
+		"http3-caller": runHTTP3Caller, "http3-upstream": runHTTP3Upstream,
 	}
 	program, ok := programs[args[0]]
 	if !ok {
-		fmt.Fprintf(os.Stderr, "standin: unknown stand-in %q; expected one of platform, fabric, caller, upstream\n", args[0])
+		fmt.Fprintf(os.Stderr, "standin: unknown stand-in %q; expected one of %s\n", args[0], names)
 		return settings.ExitUsage
 	}
 	return program(args[1:])
--- a/standin/tcp/conn.go
+++ b/standin/tcp/conn.go
@@ -291,7 +291,7 @@
 		return
 	}
 	if p.Length > 0 && len(c.outOfOrder) < maxReceive && int32(p.End()-c.received) > 0 {
-		c.outOfOrder[p.Sequence] = append([]byte(nil), geneve.TCPPayload(p)...)
+		c.outOfOrder[p.Sequence] = append([]byte(nil), geneve.Payload(p)...)
 	}
 	for {
 		data, ok := c.outOfOrder[c.received]
--- a/trace.go
+++ b/trace.go
@@ -7,14 +7,36 @@
 
 // The kinds of trace event.
 const (
-	TraceStart   TraceKind = "Start"
-	TraceChange  TraceKind = "Change"
-	TraceMember  TraceKind = "Member"
-	TraceRoute   TraceKind = "Route"
-	TraceGate    TraceKind = "Gate"
+	// TraceTable is a new routing entry of a service.
+	TraceTable TraceKind = "Table"
+	// TraceHint is an owner hint that a balancer took.
+	TraceHint TraceKind = "Hint"
+	// TraceRoute is a routing decision.
+	TraceRoute TraceKind = "Route"
+	// TraceStart is the start of an agent's gate.
+	TraceStart TraceKind = "Start"
+	// TraceGate is a call of a gate with its decision.
+	TraceGate TraceKind = "Gate"
+	// TraceOutcome states what a replay must find.
 	TraceOutcome TraceKind = "Outcome"
 )
 
+// GateCall names a method of a gate.
+type GateCall string
+
+// The calls of a gate.
+const (
+	CallFromCaller      GateCall = "FromCaller"
+	CallFromUpstream    GateCall = "FromUpstream"
+	CallSweep           GateCall = "Sweep"
+	CallSettle          GateCall = "Settle"
+	CallSetServices     GateCall = "SetServices"
+	CallSetDomain       GateCall = "SetDomain"
+	CallSetDraining     GateCall = "SetDraining"
+	CallUpstreamStarted GateCall = "UpstreamStarted"
+	CallUpstreamGone    GateCall = "UpstreamGone"
+)
+
 // TraceEvent is one line of a trace: an input of the decision code together
 // with the decision that was made.
 type TraceEvent struct {
@@ -22,23 +44,62 @@
 	At       time.Time
 	Instance InstanceID `json:",omitempty"`
 
-	Change *Change `json:",omitempty"`
-	Member *Member `json:",omitempty"`
+	// Table events hold the service with its candidates.
+	Service    ServiceName      `json:",omitempty"`
+	Addresses  []ServiceAddress `json:",omitempty"`
+	Candidates []CandidateTrace `json:",omitempty"`
+	Revision   Revision         `json:",omitempty"`
+
+	// Hint events hold the hash of the flow and its owner.
+	Hash  uint64      `json:",omitempty"`
+	Owner InstanceKey `json:",omitempty"`
+
+	// Route events hold the input and the hops.
+	Flow    *Flow         `json:",omitempty"`
+	Opening bool          `json:",omitempty"`
+	Page    uint8         `json:",omitempty"`
+	Hops    []InstanceKey `json:",omitempty"`
 
-	Flow    *Flow      `json:",omitempty"`
-	Opening bool       `json:",omitempty"`
-	Page    uint8      `json:",omitempty"`
-	Hops    []HopTrace `json:",omitempty"`
-	Code    ResultCode `json:",omitempty"`
-	Action  ActionKind `json:",omitempty"`
+	// Start events hold the gate's settings, Gate events a call.
+	Gate     *GateTrace    `json:",omitempty"`
+	Call     GateCall      `json:",omitempty"`
+	Packet   *Packet       `json:",omitempty"`
+	List     *HopList      `json:",omitempty"`
+	Services []Service     `json:",omitempty"`
+	Domain   DomainState   `json:",omitempty"`
+	Draining bool          `json:",omitempty"`
+	Boot     BootID        `json:",omitempty"`
+	Started  time.Time     `json:",omitzero"`
+	Actions  []ActionTrace `json:",omitempty"`
 
-	// Outcome and Value state what a replay must find, such as WrongService=0.
+	// Code is the result of a routing decision.
+	Code ResultCode `json:",omitempty"`
+
+	// Outcome and Value state what a replay must find, such as Mismatches and 0.
 	Outcome string `json:",omitempty"`
 	Value   int64  `json:",omitempty"`
 }
 
-// HopTrace is a hop as a trace names it.
-type HopTrace struct {
-	Upstream InstanceKey
-	Boot     BootID
+// CandidateTrace is a candidate of a routing entry as a trace holds it.
+type CandidateTrace struct {
+	Name    InstanceID
+	Boot    BootID
+	Address Endpoint
+	Open    bool
+}
+
+// GateTrace holds the settings of a gate.
+type GateTrace struct {
+	Upstream    InstanceKey
+	Slots       int
+	Connections int
+	WarmUp      Duration
+	SilentAfter Duration
+}
+
+// ActionTrace is an action as a trace holds it.
+type ActionTrace struct {
+	Kind ActionKind
+	Code ResultCode `json:",omitempty"`
+	Flow Flow
 }
--- /dev/null
+++ b/trace/gate.go
@@ -0,0 +1,123 @@
+package trace
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/caller"
+)
+
+// Gate is a caller.FlowGate that records its calls. Without a recorder it only
+// hands them on.
+type Gate struct {
+	*caller.FlowGate
+	recorder bramleyfall.Recorder
+	instance bramleyfall.InstanceID
+}
+
+var _ bramleyfall.Gate = (*Gate)(nil)
+
+// NewGate returns a gate that records the calls of gate.
+func NewGate(gate *caller.FlowGate, recorder bramleyfall.Recorder, instance bramleyfall.InstanceID, settings bramleyfall.GateTrace, now time.Time) *Gate {
+	g := &Gate{FlowGate: gate, recorder: recorder, instance: instance}
+	g.record(bramleyfall.TraceEvent{Kind: bramleyfall.TraceStart, At: now, Gate: &settings})
+	return g
+}
+
+func (g *Gate) record(e bramleyfall.TraceEvent) {
+	if g.recorder == nil {
+		return
+	}
+	e.Instance = g.instance
+	g.recorder.Record(e)
+}
+
+// actionTraces returns actions as traces hold them, in a fixed order.
+func actionTraces(actions ...bramleyfall.Action) []bramleyfall.ActionTrace {
+	out := make([]bramleyfall.ActionTrace, len(actions))
+	for i, a := range actions {
+		out[i] = bramleyfall.ActionTrace{Kind: a.Kind, Code: a.Code, Flow: a.Flow}
+	}
+	slices.SortFunc(out, func(a, b bramleyfall.ActionTrace) int {
+		return cmp.Or(cmp.Compare(a.Flow.Hash(), b.Flow.Hash()), cmp.Compare(a.Kind, b.Kind))
+	})
+	return out
+}
+
+// FromCaller implements bramleyfall.Gate.
+func (g *Gate) FromCaller(p *bramleyfall.Packet, list *bramleyfall.HopList, now time.Time) bramleyfall.Action {
+	if g.recorder == nil {
+		return g.FlowGate.FromCaller(p, list, now)
+	}
+	packet, before := *p, *list
+	a := g.FlowGate.FromCaller(p, list, now)
+	g.record(bramleyfall.TraceEvent{
+		Kind: bramleyfall.TraceGate, At: now, Call: bramleyfall.CallFromCaller, Packet: &packet, List: &before, Actions: actionTraces(a),
+	})
+	return a
+}
+
+// FromUpstream implements bramleyfall.Gate.
+func (g *Gate) FromUpstream(p *bramleyfall.Packet, now time.Time) bramleyfall.Action {
+	if g.recorder == nil {
+		return g.FlowGate.FromUpstream(p, now)
+	}
+	packet := *p
+	a := g.FlowGate.FromUpstream(p, now)
+	g.record(bramleyfall.TraceEvent{
+		Kind: bramleyfall.TraceGate, At: now, Call: bramleyfall.CallFromUpstream, Packet: &packet, Actions: actionTraces(a),
+	})
+	return a
+}
+
+// Sweep implements bramleyfall.Gate.
+func (g *Gate) Sweep(now time.Time) []bramleyfall.Action {
+	actions := g.FlowGate.Sweep(now)
+	g.record(bramleyfall.TraceEvent{Kind: bramleyfall.TraceGate, At: now, Call: bramleyfall.CallSweep, Actions: actionTraces(actions...)})
+	return actions
+}
+
+// Settle is caller.FlowGate.Settle, recorded when it did anything.
+func (g *Gate) Settle(now time.Time) []bramleyfall.Action {
+	actions := g.FlowGate.Settle(now)
+	if len(actions) > 0 {
+		g.record(bramleyfall.TraceEvent{Kind: bramleyfall.TraceGate, At: now, Call: bramleyfall.CallSettle, Actions: actionTraces(actions...)})
+	}
+	return actions
+}
+
+// SetServices is caller.FlowGate.SetServices, recorded.
+func (g *Gate) SetServices(services []bramleyfall.Service) {
+	g.record(bramleyfall.TraceEvent{Kind: bramleyfall.TraceGate, Call: bramleyfall.CallSetServices, Services: services})
+	g.FlowGate.SetServices(services)
+}
+
+// SetDomain is caller.FlowGate.SetDomain, recorded.
+func (g *Gate) SetDomain(state bramleyfall.DomainState) []bramleyfall.Action {
+	actions := g.FlowGate.SetDomain(state)
+	g.record(bramleyfall.TraceEvent{Kind: bramleyfall.TraceGate, Call: bramleyfall.CallSetDomain, Domain: state, Actions: actionTraces(actions...)})
+	return actions
+}
+
+// SetDraining is caller.FlowGate.SetDraining, recorded.
+func (g *Gate) SetDraining(draining bool, now time.Time) {
+	g.record(bramleyfall.TraceEvent{Kind: bramleyfall.TraceGate, At: now, Call: bramleyfall.CallSetDraining, Draining: draining})
+	g.FlowGate.SetDraining(draining, now)
+}
+
+// UpstreamStarted is caller.FlowGate.UpstreamStarted, recorded.
+func (g *Gate) UpstreamStarted(boot bramleyfall.BootID, started, now time.Time) []bramleyfall.Action {
+	actions := g.FlowGate.UpstreamStarted(boot, started, now)
+	g.record(bramleyfall.TraceEvent{
+		Kind: bramleyfall.TraceGate, At: now, Call: bramleyfall.CallUpstreamStarted, Boot: boot, Started: started, Actions: actionTraces(actions...),
+	})
+	return actions
+}
+
+// UpstreamGone is caller.FlowGate.UpstreamGone, recorded.
+func (g *Gate) UpstreamGone(now time.Time) {
+	g.record(bramleyfall.TraceEvent{Kind: bramleyfall.TraceGate, At: now, Call: bramleyfall.CallUpstreamGone})
+	g.FlowGate.UpstreamGone(now)
+}
--- /dev/null
+++ b/upstream/main_test.go
@@ -0,0 +1,16 @@
+package upstream_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20260101")
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/upstream/table_test.go
@@ -0,0 +1,209 @@
+package upstream_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/configuration"
+	"bramleyfall.example/bramleyfall/upstream"
+)
+
+func address(n byte) bramleyfall.ServiceAddress {
+	return bramleyfall.ServiceAddress{
+		Endpoint: bramleyfall.Endpoint{IP: [4]byte{127, 0, 9, n}, Port: 443}, Protocol: bramleyfall.TCP, Class: bramleyfall.ClassOrders,
+	}
+}
+
+func flowTo(n byte, port uint16) bramleyfall.Flow {
+	return bramleyfall.Flow{
+		Source:      bramleyfall.Endpoint{IP: [4]byte{127, 0, 0, 4}, Port: port},
+		Destination: address(n).Endpoint, Protocol: bramleyfall.TCP,
+	}
+}
+
+func entry(name string, size int, closed ...int) *upstream.Entry {
+	e := &upstream.Entry{Name: bramleyfall.ServiceName(name)}
+	for i := range size {
+		id := fmt.Sprintf("%s-%d", name, i)
+		e.Names = append(e.Names, bramleyfall.InstanceID(id))
+		e.Candidates = append(e.Candidates, upstream.Candidate{Upstream: bramleyfall.KeyOf(id), Boot: 1, Open: true})
+	}
+	for _, i := range closed {
+		e.Candidates[i].Open = false
+	}
+	return e
+}
+
+// hops returns all upstreams that a packet visits, over all pages.
+func hops(t *upstream.Table, f bramleyfall.Flow, opening bool) []bramleyfall.InstanceKey {
+	var out []bramleyfall.InstanceKey
+	var list bramleyfall.HopList
+	for page := range uint8(bramleyfall.MaxPages) {
+		if t.Route(f, opening, page, &list) != bramleyfall.OK {
+			return out
+		}
+		for _, h := range list.Hops[:list.Count] {
+			out = append(out, h.Upstream)
+		}
+		if !list.More {
+			return out
+		}
+	}
+	return out
+}
+
+func TestRouteVisitsWhoMayOwnTheFlow(t *testing.T) {
+	tests := []struct {
+		name    string
+		size    int
+		closed  []int
+		opening bool
+		want    int
+	}{
+		{"opening skips what takes no new flows", 7, []int{2, 5}, true, 5},
+		{"other packets visit all", 7, []int{2, 5}, false, 7},
+		{"one upstream", 1, nil, true, 1},
+		{"nobody takes new flows", 2, []int{0, 1}, true, 0},
+		{"no more than all pages", 40, nil, false, bramleyfall.MaxHops * bramleyfall.MaxPages},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			table := upstream.NewTable()
+			table.Set(entry("railbook", test.size, test.closed...), []bramleyfall.ServiceAddress{address(1)})
+			got := hops(table, flowTo(1, 5555), test.opening)
+			is.Equal(len(got), test.want)
+			seen := make(map[bramleyfall.InstanceKey]bool)
+			for _, k := range got {
+				is.True(!seen[k]) // each is visited once
+				seen[k] = true
+			}
+		})
+	}
+}
+
+func TestHintComesFirstForEstablishedFlowsOnly(t *testing.T) {
+	is := is.New(t)
+	table := upstream.NewTable(upstream.WithHints(1024))
+	table.Set(entry("railbook", 6), []bramleyfall.ServiceAddress{address(1)})
+	f := flowTo(1, 5555)
+	before := hops(table, f, false)
+	table.Hint(f.Hash(), before[4])
+	is.Equal(hops(table, f, false)[0], before[4])
+	is.Equal(hops(table, f, true), before)
+	is.Equal(len(hops(table, f, false)), 6) // a wrong hint costs a hop, not the flow
+}
+
+func TestChangeMovesOnlyTheFlowsOfWhatChanged(t *testing.T) {
+	is := is.New(t)
+	table := upstream.NewTable()
+	const flows = 1000
+	first := func() [flows]bramleyfall.InstanceKey {
+		var out [flows]bramleyfall.InstanceKey
+		for i := range out {
+			out[i] = hops(table, flowTo(1, uint16(i)), true)[0]
+		}
+		return out
+	}
+	table.Set(entry("railbook", 7), []bramleyfall.ServiceAddress{address(1)})
+	before := first()
+	table.Set(entry("railbook", 7, 3), []bramleyfall.ServiceAddress{address(1)})
+	after := first()
+	gone := bramleyfall.KeyOf("railbook-3")
+	for i := range before {
+		is.True(before[i] == after[i] || before[i] == gone)
+	}
+}
+
+// TestPacketNeverReachesAnotherService changes services, addresses and
+// upstreams at random and checks that every hop may serve the service that the
+// packet is addressed to.
+func TestPacketNeverReachesAnotherService(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := upstream.NewTable(upstream.WithHints(64))
+		owner := make(map[byte]string)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := rapid.SampledFrom([]string{"railbook", "drawhub", "dispatch"}).Draw(t, "service")
+			if rapid.Bool().Draw(t, "delete") {
+				table.Delete(bramleyfall.ServiceName(name))
+				for n, o := range owner {
+					if o == name {
+						delete(owner, n)
+					}
+				}
+				continue
+			}
+			n := rapid.ByteRange(1, 5).Draw(t, "address")
+			if owner[n] != "" && owner[n] != name {
+				continue
+			}
+			for m, o := range owner {
+				if o == name {
+					delete(owner, m)
+				}
+			}
+			owner[n] = name
+			table.Set(entry(name, rapid.IntRange(0, 9).Draw(t, "size")), []bramleyfall.ServiceAddress{address(n)})
+			f := flowTo(n, rapid.Uint16().Draw(t, "port"))
+			table.Hint(f.Hash(), bramleyfall.KeyOf(rapid.SampledFrom([]string{"railbook-0", "drawhub-0"}).Draw(t, "hint")))
+		}
+		for n := byte(1); n <= 5; n++ {
+			f := flowTo(n, rapid.Uint16().Draw(t, "port"))
+			for _, k := range hops(table, f, rapid.Bool().Draw(t, "opening")) {
+				if !mayServe(owner[n], k) {
+					t.Fatalf("a packet to address %d of %q visits %d", n, owner[n], k)
+				}
+			}
+		}
+	})
+}
+
+func mayServe(service string, key bramleyfall.InstanceKey) bool {
+	for i := range 9 {
+		if bramleyfall.KeyOf(fmt.Sprintf("%s-%d", service, i)) == key {
+			return true
+		}
+	}
+	return false
+}
+
+func TestBuildEntryLeavesOutWhoMayNotServe(t *testing.T) {
+	state := configuration.New()
+	out, err := configuration.DomainChange("Ife", bramleyfall.DomainOut, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state.ApplyItem(out)
+	service := bramleyfall.Service{Name: "railbook", Allowed: []string{"railbook-*"}}
+	member := func(id, domain string, s bramleyfall.MemberState, boot bramleyfall.BootID) bramleyfall.Member {
+		return bramleyfall.Member{
+			ID: bramleyfall.InstanceID(id), Domain: bramleyfall.DomainName(domain), State: s, UpstreamBoot: boot,
+		}
+	}
+	tests := []struct {
+		name       string
+		member     bramleyfall.Member
+		candidates int
+		open       bool
+	}{
+		{"serving", member("railbook-1", "Ikeja", bramleyfall.MemberServing, 1), 1, true},
+		{"draining keeps its flows", member("railbook-1", "Ikeja", bramleyfall.MemberDraining, 1), 1, false},
+		{"not allowed", member("intruder-1", "Ikeja", bramleyfall.MemberServing, 1), 0, false},
+		{"failure domain out", member("railbook-2", "Ife", bramleyfall.MemberServing, 1), 0, false},
+		{"upstream never started", member("railbook-3", "Ikeja", bramleyfall.MemberDraining, 0), 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			e := upstream.BuildEntry(&service, state, []bramleyfall.Member{test.member})
+			is.Equal(len(e.Candidates), test.candidates)
+			if len(e.Candidates) > 0 {
+				is.Equal(e.Candidates[0].Open, test.open)
+			}
+		})
+	}
+}
