Adopt half-open and half-closed flows of a running upstream

Cause: an agent that replaced another answered its upstream's repeated reply to an opening with a reset, because only data counted as proof of a flow. The caller could have the first reply and lost its connection with its first data.

--- a/caller/adopt.go
+++ b/caller/adopt.go
@@ -89,13 +89,22 @@
 	return answer, true
 }
 
-// adopt takes a flow of the running upstream into the table.
+// adopt takes a flow of the running upstream into the table. A reply to an
+// opening may have reached the caller already, so that its flow is kept too.
 func (g *FlowGate) adopt(key bramleyfall.Flow, s *service, p *bramleyfall.Packet, now time.Time) {
 	at := g.millis(now)
-	g.flows[key] = &flow{
+	f := &flow{
 		service: s, state: g.chart.established, lastCaller: at, lastUpstream: at,
 		nextCaller: p.Ack, nextUpstream: p.End(),
 	}
+	switch p.Kind {
+	case bramleyfall.KindOpeningReply:
+		f.state = g.chart.halfOpen
+		f.upstreamStart = p.Sequence
+	case bramleyfall.KindFinish:
+		g.fire(f, g.chart.upstreamFin)
+	}
+	g.flows[key] = f
 	g.live++
 }
 
--- a/caller/gate_test.go
+++ b/caller/gate_test.go
@@ -225,3 +225,34 @@
 	is.Equal(a.ToCaller.Ack, uint32(callerStart+1)) // a caller in SYN-SENT accepts it
 	is.True(a.RetryAfter > 0)
 }
+
+func TestReplacedAgentKeepsAHalfOpenFlow(t *testing.T) {
+	is := is.New(t)
+	g := newGate(is, caller.WithAdoption(time.Minute))
+	// The upstream repeats its reply; the caller may have the first one.
+	is.Equal(g.FromUpstream(reply(), epoch).Kind, bramleyfall.ActionReturn)
+	is.Equal(g.FromCaller(data(upstreamStart+1), listTo(self, other), epoch).Kind, bramleyfall.ActionDeliver)
+}
+
+func TestDeadUpstreamTakesNoOpenings(t *testing.T) {
+	tests := []struct {
+		name string
+		dead bool
+		want bramleyfall.ActionKind
+	}{
+		{"nobody listens at its health endpoint", true, bramleyfall.ActionPass},
+		{"its health endpoint is silent but it sends packets", false, bramleyfall.ActionDeliver},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGate(is)
+			establish(is, g)
+			g.UpstreamGone(test.dead, epoch.Add(time.Millisecond))
+			p := opening()
+			p.Flow.Source.Port++
+			is.Equal(g.FromCaller(p, listTo(self, other), epoch).Kind, test.want)
+			is.Equal(g.Flows() > 0, true) // flows stay until they go unanswered
+		})
+	}
+}
--- a/caller/known.go
+++ b/caller/known.go
@@ -135,7 +135,7 @@
 		return a
 	}
 	s := g.service(key)
-	if s != nil && g.upstream.adopting(now) && p.Kind == bramleyfall.KindData {
+	if s != nil && g.upstream.adopting(now) && p.Kind != bramleyfall.KindReset {
 		g.adopt(key, s, p, now)
 		return bramleyfall.Action{Kind: bramleyfall.ActionReturn, Flow: key, Opened: true}
 	}
--- a/caller/lifecycle.go
+++ b/caller/lifecycle.go
@@ -80,10 +80,11 @@
 }
 
 // UpstreamGone tells the gate that the upstream's health endpoint does not
-// answer. An endpoint can mislead: while the upstream sends packets, it is not
-// gone. Flows stay until they go unanswered or another run is there.
-func (g *FlowGate) UpstreamGone(now time.Time) {
-	if now.Sub(g.upstream.lastPacket) > goneAfter {
+// answer. An endpoint can mislead: unless its process is known to be dead, an
+// upstream that sends packets is not gone. Flows stay until they go unanswered
+// or another run is there.
+func (g *FlowGate) UpstreamGone(dead bool, now time.Time) {
+	if dead || now.Sub(g.upstream.lastPacket) > goneAfter {
 		g.upstream.fire(eventGone)
 	}
 }
