See the death of an upstream's process at once

Cause: after a restart without warning the agent learned the new boot id by its next look at the health endpoint, up to 250 ms later, and sent the cold upstream its full load until then. Ruled out: the warm-up limit itself (no failure after the new boot id was seen). The agent holds an idle connection to the endpoint; its end makes it look at once, and a refused connection stops new flows. A silent endpoint alone still stops nothing while the upstream sends packets.

--- a/agent/decide.go
+++ b/agent/decide.go
@@ -55,6 +55,8 @@
 	actions   map[bramleyfall.ActionKind]*metrics.Counter
 	malformed *metrics.Counter
 	hints     *metrics.Counter
+	received  *metrics.Counter
+	opened    *metrics.Counter
 	sent      *metrics.Counter
 }
 
@@ -63,6 +65,8 @@
 		actions:   make(map[bramleyfall.ActionKind]*metrics.Counter),
 		malformed: t.Counter("bramleyfall_malformed_packets_total"),
 		hints:     t.Counter("bramleyfall_owner_hints_total"),
+		received:  t.Counter("bramleyfall_packets_total"),
+		opened:    t.Counter("bramleyfall_flows_opened_total"),
 		sent:      t.Counter("bramleyfall_control_bytes_sent_total"),
 	}
 	for _, kind := range []bramleyfall.ActionKind{
@@ -130,6 +134,7 @@
 		d.all(d.gate.Settle(now))
 		return
 	}
+	d.counts.received.Inc()
 	if !m.HasHops {
 		d.malformed("a packet without a hop list came from the network")
 		return
@@ -191,6 +196,9 @@
 // act carries out an action on the packet in d.message.
 func (d *decider) act(a bramleyfall.Action) {
 	d.counts.actions[a.Kind].Inc()
+	if a.Opened {
+		d.counts.opened.Inc()
+	}
 	d.log(&a)
 	m := &d.message
 	raw := m.Packet.Raw
--- a/agent/health.go
+++ b/agent/health.go
@@ -3,15 +3,22 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
+	"net/url"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bramleyfall.example/bramleyfall"
 )
 
 const (
 	// healthEvery is the time between two looks at the upstream's health.
 	healthEvery = 250 * time.Millisecond
+	// attachEvery is the least time between two attempts to hold a connection.
+	attachEvery = 100 * time.Millisecond
 	// healthTimeout bounds one look.
 	healthTimeout = time.Second
 	// healthMisses is the number of failed looks after which the upstream
@@ -27,7 +34,8 @@
 	Draining bool
 }
 
-// runHealth watches which run of the upstream is there.
+// runHealth watches which run of the upstream is there. Beside a look at fixed
+// times it looks at once when the connection that runAttached holds ends.
 func (s *server) runHealth(ctx context.Context) {
 	client := &http.Client{Timeout: healthTimeout}
 	ticker := time.NewTicker(healthEvery)
@@ -39,6 +47,8 @@
 		case err == nil:
 			misses = 0
 			s.tasks.Offer(func() { s.decider.upstreamAnswers(h) })
+		case errors.Is(err, syscall.ECONNREFUSED):
+			s.tasks.Offer(s.decider.upstreamDead)
 		case misses >= healthMisses:
 			s.tasks.Offer(s.decider.upstreamSilent)
 		default:
@@ -48,7 +58,39 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-s.detached:
+		}
+	}
+}
+
+// runAttached holds an idle connection to the health endpoint. Its end shows at
+// once that the upstream's process may have stopped.
+func (s *server) runAttached(ctx context.Context) {
+	target, err := url.Parse(s.config.Health)
+	if err != nil {
+		return
+	}
+	var dialer net.Dialer
+	for ctx.Err() == nil {
+		conn, err := dialer.DialContext(ctx, "tcp", target.Host)
+		if err == nil {
+			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+			_, _ = conn.Read(make([]byte, 1))
+			stop()
+			_ = conn.Close()
+			select {
+			case s.detached <- struct{}{}:
+			default:
+			}
 		}
+		sleep(ctx, attachEvery)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -52,6 +52,8 @@
 	busy      atomic.Int64
 	serving   atomic.Bool
 	stopping  atomic.Bool
+	// detached tells that the connection to the health endpoint ended.
+	detached chan struct{}
 }
 
 // serve runs the agent until a signal. SIGTERM drains the upstream first;
@@ -60,6 +62,7 @@
 	s := &server{
 		config: config, clock: bramleyfall.SystemClock(),
 		packets: ring.New[inbound](queueSize), tasks: ring.New[func()](taskQueueSize),
+		detached: make(chan struct{}, 1),
 	}
 	s.telemetry = telemetry.New(telemetry.Stdout(), config.ID)
 	defer s.telemetry.Close()
@@ -152,6 +155,7 @@
 	duties.Go(func() { s.runRead(s.upstream, true) })
 	duties.Go(func() { s.runControl() })
 	duties.Go(func() { s.runHealth(ctx) })
+	duties.Go(func() { s.runAttached(ctx) })
 	duties.Go(func() { s.decider.run(ctx) })
 	if err := s.listenHTTP(); err != nil {
 		return err
--- a/agent/state.go
+++ b/agent/state.go
@@ -114,6 +114,8 @@
 	d.drainAsAsked(now)
 }
 
-// upstreamSilent takes the upstream as gone: its health endpoint does not
-// answer.
-func (d *decider) upstreamSilent() { d.gate.UpstreamGone(d.server.clock.Now()) }
+// upstreamSilent notes that the upstream's health endpoint does not answer.
+func (d *decider) upstreamSilent() { d.gate.UpstreamGone(false, d.server.clock.Now()) }
+
+// upstreamDead notes that nobody listens at the upstream's health endpoint.
+func (d *decider) upstreamDead() { d.gate.UpstreamGone(true, d.server.clock.Now()) }
--- a/trace.go
+++ b/trace.go
@@ -68,6 +68,7 @@
 	Services []Service     `json:",omitempty"`
 	Domain   DomainState   `json:",omitempty"`
 	Draining bool          `json:",omitempty"`
+	Dead     bool          `json:",omitempty"`
 	Boot     BootID        `json:",omitempty"`
 	Started  time.Time     `json:",omitzero"`
 	Actions  []ActionTrace `json:",omitempty"`
--- a/trace/gate.go
+++ b/trace/gate.go
@@ -117,7 +117,7 @@
 }
 
 // UpstreamGone is caller.FlowGate.UpstreamGone, recorded.
-func (g *Gate) UpstreamGone(now time.Time) {
-	g.record(bramleyfall.TraceEvent{Kind: bramleyfall.TraceGate, At: now, Call: bramleyfall.CallUpstreamGone})
-	g.FlowGate.UpstreamGone(now)
+func (g *Gate) UpstreamGone(dead bool, now time.Time) {
+	g.record(bramleyfall.TraceEvent{Kind: bramleyfall.TraceGate, At: now, Call: bramleyfall.CallUpstreamGone, Dead: dead})
+	g.FlowGate.UpstreamGone(dead, now)
 }
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -216,7 +216,7 @@
 	case bramleyfall.CallUpstreamStarted:
 		return r.gate.UpstreamStarted(e.Boot, e.Started, e.At), nil
 	case bramleyfall.CallUpstreamGone:
-		r.gate.UpstreamGone(e.At)
+		r.gate.UpstreamGone(e.Dead, e.At)
 	default:
 		return nil, bramleyfall.Errorf(bramleyfall.BadTrace, "line %d: unknown call %q", line, e.Call)
 	}
