Forward nothing while a balancer starts or is cut off from the fleet

Cause: a balancer whose view of the membership is wrong resets flows that others could carry. Two cases: (1) a replacement had the configuration but no members for 30 ms and refused 4 established flows with NoUpstream (lossy.txtar); (2) a balancer cut off from two of three failure domains called them lost and reset their flows (domain-out.txtar, 155 flows broken), and once more at the end of the cut, before the membership had come back (31 broken). A platform that answers and shows no contact point of another domain ends the hold: then the others are dead. Dropped packets are repeated and reach another balancer.

--- a/balancer/control.go
+++ b/balancer/control.go
@@ -51,6 +51,7 @@
 	platform  error
 	routed    map[bramleyfall.ServiceName]bool
 	notified  bramleyfall.Revision
+	hold      holdJudge
 	client    *http.Client
 	// done is closed when the control thread has ended.
 	done chan struct{}
@@ -122,6 +123,7 @@
 		c.telemetry.Log.Warn().Str("Event", "Paused").Str("Reason", "the process stood still; waiting for the newest configuration").Msg("")
 	}
 	c.send(c.node.Tick(now))
+	c.judge(now)
 	if r := c.node.State().Revision(); r != c.notified {
 		c.notified = r
 		c.send(c.node.NotifyAgents())
--- a/balancer/platform.go
+++ b/balancer/platform.go
@@ -20,7 +20,7 @@
 // runPlatform reads the platform while this balancer is one of the readers of
 // its failure domain, and keeps its contact point there under a lease.
 func (s *server) runPlatform(ctx context.Context) {
-	contact := platform.Contact{ID: s.config.ID, Control: s.config.AdvertiseControl}
+	contact := platform.Contact{ID: s.config.ID, Domain: s.config.Domain, Control: s.config.AdvertiseControl}
 	lease := platform.NewLease(s.platform, s.clock, s.config.Domain, contact)
 	var cancel context.CancelFunc
 	var renewed time.Time
@@ -63,15 +63,23 @@
 	contacts, err := platform.Contacts(ctx, s.platform)
 	if err != nil {
 		s.telemetry.Log.Warn().Str("Event", "NoContacts").Str("Reason", err.Error()).Msg("")
+		_ = s.controller.do(ctx, func() { s.controller.hold.othersDead = false })
 		return
 	}
 	known := slices.Clone(s.config.Peers)
+	others := 0
 	for _, c := range contacts {
 		if c.ID != s.config.ID {
 			known = append(known, c.Control)
 		}
+		if c.Domain != s.config.Domain {
+			others++
+		}
 	}
-	_ = s.controller.do(ctx, func() { s.controller.node.SetContacts(known) })
+	_ = s.controller.do(ctx, func() {
+		s.controller.hold.othersDead = others == 0
+		s.controller.node.SetContacts(known)
+	})
 }
 
 func (s *server) isReader() bool {
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -107,7 +107,9 @@
 		routed: make(map[bramleyfall.ServiceName]bool),
 		client: s.config.Keys.Client(s.clock, pullTimeout),
 		done:   make(chan struct{}),
+		hold:   holdJudge{started: now, reason: holdStarting},
 	}
+	fresh.Hold(true)
 	options := []fabric.Option{
 		fabric.WithAnswers(s.config.Fabric), fabric.WithNotices(s.config.Keys, s.controller.noticed),
 		fabric.WithClock(s.clock), fabric.WithFreshness(fresh),
@@ -127,6 +129,9 @@
 		return errors.New("leaving")
 	default:
 	}
+	if s.controller.fresh.Held() {
+		return errors.New("starting, or cut off from the fleet")
+	}
 	view := s.controller.View()
 	if view.Revision == 0 {
 		return errors.New("no configuration yet")
--- a/fabric/freshness.go
+++ b/fabric/freshness.go
@@ -19,6 +19,7 @@
 type Freshness struct {
 	lastTick   atomic.Int64
 	staleUntil atomic.Int64
+	held       atomic.Bool
 }
 
 // NewFreshness returns the state of a process that started at now.
@@ -46,6 +47,9 @@
 
 // Stale reports whether packets must not be forwarded at now.
 func (f *Freshness) Stale(now time.Time) bool {
+	if f.held.Load() {
+		return true
+	}
 	f.notePause(now)
 	until := f.staleUntil.Load()
 	return until != 0 && now.UnixNano() < until
@@ -53,3 +57,11 @@
 
 // HeardNewest ends the waiting.
 func (f *Freshness) HeardNewest() { f.staleUntil.Store(0) }
+
+// Hold stops or resumes forwarding. A balancer that starts or is cut off holds
+// back: callers repeat their packets, which the fabric hands to others, while
+// a wrong table would break flows.
+func (f *Freshness) Hold(held bool) { f.held.Store(held) }
+
+// Held reports whether forwarding is held.
+func (f *Freshness) Held() bool { return f.held.Load() }
--- a/peer/members.go
+++ b/peer/members.go
@@ -193,3 +193,29 @@
 	}
 	return false
 }
+
+// InMinority reports whether all balancers of more than half of the failure
+// domains seem lost. Then this balancer is more likely cut off than the last
+// one alive, and what it thinks of the other domains' agents is not to be
+// trusted.
+func (n *Node) InMinority() bool {
+	total, gone := 0, 0
+	for _, name := range n.members.domains() {
+		total++
+		if len(n.members.balancers[name]) == 0 && n.members.lostBalancer(name) {
+			gone++
+		}
+	}
+	return 2*gone > total
+}
+
+// lostBalancer reports whether a balancer of the domain is lost, which one that
+// left on its own is not.
+func (s *memberSet) lostBalancer(name bramleyfall.DomainName) bool {
+	for _, m := range s.records {
+		if m.Role == bramleyfall.RoleBalancer && m.Domain == name && m.State == bramleyfall.MemberLost {
+			return true
+		}
+	}
+	return false
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -100,6 +100,8 @@
 	lastNews time.Time
 	// contact are balancers to ask when no member is known.
 	contact []bramleyfall.Endpoint
+	// joined is set once the membership of a peer was taken.
+	joined bool
 	// altered collects the services whose routing may have changed.
 	altered   map[bramleyfall.ServiceName]bool
 	allMoved  bool
--- a/peer/pull.go
+++ b/peer/pull.go
@@ -53,5 +53,11 @@
 			_ = n.ApplyChange(c)
 		}
 	}
+	if len(reply.Members) > 0 {
+		n.joined = true
+	}
 	n.learnAll(reply.Members)
 }
+
+// Joined reports whether the node has taken the membership of a peer.
+func (n *Node) Joined() bool { return n.joined }
