Prove the promises of the data path with scenarios under failure

planned, domain-out, leaving, silent, lossy, cold and reuse: each plays the failures that its promise names and holds the ledgers of the upstreams against what callers saw.

--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -40,6 +40,8 @@
 			"say":        command(sayCommand),
 			"pause":      command(pauseCommand),
 			"mark":       command(markCommand),
+			"reuse":      command(reuseCommand),
+			"replayed":   command(replayedCommand),
 		},
 	}
 }
@@ -187,6 +189,18 @@
 	return err
 }
 
+// reuseCommand ends an agent and its upstream without notice and starts others,
+// of another service, at the same addresses: reuse old new service.
+func reuseCommand(d *deployment, args []string) error {
+	if len(args) != 3 {
+		return fmt.Errorf("usage: reuse old new service")
+	}
+	return d.reuse(args[0], args[1], args[2])
+}
+
+// replayedCommand replays all traces and checks that the decisions are the same.
+func replayedCommand(d *deployment, _ []string) error { return d.replay() }
+
 // verdictCommand stops the callers, compares what they saw with the ledgers and
 // fails unless all is well: verdict [label] [Name=most ...].
 func verdictCommand(d *deployment, args []string) error {
--- a/scenario/layout.go
+++ b/scenario/layout.go
@@ -174,8 +174,8 @@
 
 // relayed returns the flags by which an instance advertises its relays.
 func (l *layout) relayed(n node) []string {
-	for _, port := range []string{"6081", "7000"} {
-		l.relays = append(l.relays, fmt.Sprintf("%s:%s=%s:%s@%s", relayIP(n), port, n.ip, port, n.domain))
+	for port, kind := range map[string]string{"6081": "packets", "7000": "control"} {
+		l.relays = append(l.relays, fmt.Sprintf("%s:%s=%s:%s@%s/%s/%s", relayIP(n), port, n.ip, port, n.domain, n.name, kind))
 	}
 	return []string{"--advertise-packets", relayIP(n) + ":6081", "--advertise-control", relayIP(n) + ":7000"}
 }
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -37,8 +37,9 @@
 	Orders Target
 	Feeds  Target
 	Files  Target
-	// Dealers, Viewers and Fitters are the numbers of callers.
-	Dealers, Viewers, Fitters int
+	// Dealers, Shoppers, Viewers and Fitters are the numbers of callers. A
+	// shopper places each order over a connection of its own.
+	Dealers, Shoppers, Viewers, Fitters int
 	// Pause is the time between two requests of a dealer or a fitter.
 	Pause time.Duration
 	// Deadline is the time for the answer to one request.
@@ -107,6 +108,9 @@
 	for range c.config.Dealers {
 		group.Go(func() { c.runDealer(ctx) })
 	}
+	for range c.config.Shoppers {
+		group.Go(func() { c.runShopper(ctx) })
+	}
 	for range c.config.Viewers {
 		group.Go(func() { c.runViewer(ctx) })
 	}
@@ -180,6 +184,20 @@
 	}
 }
 
+// runShopper places each order over a connection of its own.
+func (c *Callers) runShopper(ctx context.Context) {
+	for ctx.Err() == nil {
+		conn, err := c.dial(ctx, c.config.Orders)
+		if err != nil {
+			c.failed(ctx)
+			continue
+		}
+		c.placeOrder(ctx, conn, bufio.NewReader(conn))
+		_ = conn.Close()
+		pause(ctx, c.config.Pause)
+	}
+}
+
 func (c *Callers) failed(ctx context.Context) {
 	if ctx.Err() == nil {
 		c.Counts.Failed.Add(1)
@@ -197,7 +215,7 @@
 		line, err := c.ask(conn, lines, fmt.Sprintf("ORDER %s %s\n", id, c.config.Orders.Service))
 		if err != nil {
 			c.Counts.OrdersUnknown.Add(1)
-			c.Counts.FlowsBroken.Add(1)
+			c.broken(conn, err)
 			return false
 		}
 		switch line {
@@ -241,11 +259,17 @@
 		stop()
 		c.Counts.FlowsOpen.Add(-1)
 		if ctx.Err() == nil {
-			c.Counts.FlowsBroken.Add(1)
+			c.broken(conn, io.ErrUnexpectedEOF)
 		}
 	}
 }
 
+// broken counts a flow that ended before its caller was done.
+func (c *Callers) broken(conn *tcp.Conn, err error) {
+	c.Counts.FlowsBroken.Add(1)
+	fmt.Printf("Broken Time=%s Flow=%q Reason=%q\n", time.Now().UTC().Format(time.RFC3339Nano), conn.Flow(), err)
+}
+
 func (c *Callers) watchFeed(conn *tcp.Conn) {
 	lines := bufio.NewScanner(conn)
 	last := time.Now()
@@ -286,7 +310,7 @@
 	switch {
 	case err != nil:
 		c.Counts.FilesFailed.Add(1)
-		c.Counts.FlowsBroken.Add(1)
+		c.broken(conn, err)
 	case strings.HasPrefix(line, "FILE"):
 		c.Counts.FilesFetched.Add(1)
 	case strings.HasPrefix(line, "SHED"), strings.HasPrefix(line, "FAILED"):
--- a/standin/fabric/relay.go
+++ b/standin/fabric/relay.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 
 	"bramleyfall.example/bramleyfall"
@@ -16,6 +17,9 @@
 type Relay struct {
 	Listen bramleyfall.Endpoint
 	Target bramleyfall.Endpoint
+	// Name is the instance's name with a suffix for the kind of traffic, such
+	// as "balancer-ife-1/control".
+	Name   string
 	Domain string
 }
 
@@ -23,8 +27,8 @@
 type Relays struct {
 	relays []Relay
 	mu     sync.Mutex
-	// domains maps the IP of an instance to its failure domain.
-	domains map[netip.Addr]string
+	// senders maps the IP of an instance to its name and failure domain.
+	senders map[netip.Addr]Relay
 	cuts    map[[2]string]bool
 	loss    float64
 }
@@ -32,14 +36,15 @@
 // NewRelays returns relays that lose the given share of datagrams between
 // domains. Run must be called.
 func NewRelays(relays []Relay, loss float64) *Relays {
-	r := &Relays{relays: relays, domains: make(map[netip.Addr]string), cuts: make(map[[2]string]bool), loss: loss}
+	r := &Relays{relays: relays, senders: make(map[netip.Addr]Relay), cuts: make(map[[2]string]bool), loss: loss}
 	for _, x := range relays {
-		r.domains[x.Target.AddrPort().Addr()] = x.Domain
+		r.senders[x.Target.AddrPort().Addr()] = x
 	}
 	return r
 }
 
-// Cut ends the traffic between two domains; "*" stands for all others.
+// Cut ends the traffic between two failure domains or instances. An instance is
+// named with the kind of traffic; "*" stands for all others.
 func (r *Relays) Cut(a, b string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -54,15 +59,33 @@
 	clear(r.cuts)
 }
 
-func (r *Relays) open(from netip.Addr, to string) bool {
+// open reports whether a datagram may pass to the relay.
+func (r *Relays) open(from netip.Addr, to Relay) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sender := r.domains[from.Unmap()]
-	if sender == to || sender == "" {
+	sender, known := r.senders[from.Unmap()]
+	if !known || sender.Target.IP == to.Target.IP {
 		return true
 	}
-	return !r.cuts[[2]string{sender, to}] && !r.cuts[[2]string{sender, "*"}] && !r.cuts[[2]string{to, "*"}] &&
-		(r.loss == 0 || rand.Float64() >= r.loss)
+	_, kind, _ := strings.Cut(to.Name, "/")
+	instance, _, _ := strings.Cut(sender.Name, "/")
+	for _, a := range []string{sender.Domain, instance + "/" + kind} {
+		for _, b := range []string{to.Domain, to.Name} {
+			if r.cuts[[2]string{a, b}] && sender.Domain != to.Domain {
+				return false
+			}
+		}
+	}
+	if r.cutOffFromAll(sender.Domain, to.Domain, instance+"/"+kind, to.Name) {
+		return false
+	}
+	return sender.Domain == to.Domain || r.loss == 0 || rand.Float64() >= r.loss
+}
+
+// cutOffFromAll reports whether either side is cut off from all others.
+func (r *Relays) cutOffFromAll(senderDomain, toDomain, sender, to string) bool {
+	all := func(name string) bool { return r.cuts[[2]string{name, "*"}] }
+	return all(sender) || all(to) || senderDomain != toDomain && (all(senderDomain) || all(toDomain))
 }
 
 // Run opens all relays and carries traffic until ctx ends.
@@ -90,7 +113,7 @@
 		if err != nil {
 			return
 		}
-		if r.open(from.Addr(), x.Domain) {
+		if r.open(from.Addr(), x) {
 			_, _ = udp.WriteToUDPAddrPort(buffer[:n], x.Target.AddrPort())
 		}
 	}
@@ -103,7 +126,7 @@
 			return
 		}
 		from, ok := in.RemoteAddr().(*net.TCPAddr)
-		if !ok || !r.open(from.AddrPort().Addr(), x.Domain) {
+		if !ok || !r.open(from.AddrPort().Addr(), x) {
 			_ = in.Close()
 			continue
 		}
--- a/standin/main.go
+++ b/standin/main.go
@@ -74,7 +74,7 @@
 	inside := s.String("inside", "127.0.0.1:6001", "address that agents and balancers send to (UDP)")
 	admin := s.String("admin", "127.0.0.1:6002", "address of the switches (HTTP)")
 	balancers := s.String("balancers", "", "balancers as packets@ready-address, separated by commas")
-	relays := s.String("relays", "", "relays as listen=target@domain, separated by commas")
+	relays := s.String("relays", "", "relays as listen=target@domain/instance/kind, separated by commas")
 	delay := s.Duration("delay", 0, "delay of each packet")
 	jitter := s.Duration("jitter", 0, "random delay on top, which reorders packets")
 	loss := s.Float64("loss", 0, "share of packets that are lost")
@@ -95,9 +95,10 @@
 		}
 		for _, text := range s.Names(*relays) {
 			listen, rest, _ := strings.Cut(text, "=")
-			target, domain, _ := strings.Cut(rest, "@")
+			target, who, _ := strings.Cut(rest, "@")
+			domain, name, _ := strings.Cut(who, "/")
 			carried = append(carried, fabric.Relay{
-				Listen: s.Endpoint("relays", listen), Target: s.Endpoint("relays", target), Domain: domain,
+				Listen: s.Endpoint("relays", listen), Target: s.Endpoint("relays", target), Name: name, Domain: domain,
 			})
 		}
 	}
@@ -161,6 +162,7 @@
 	feeds := s.String("feeds", "", "service@address for feeds")
 	files := s.String("files", "", "service@address for files")
 	dealers := s.Int("dealers", 0, "callers that place orders")
+	shoppers := s.Int("shoppers", 0, "callers that place each order over a connection of its own")
 	viewers := s.Int("viewers", 0, "callers that hold feeds open")
 	fitters := s.Int("fitters", 0, "callers that fetch files")
 	interval := s.Duration("pause", 100*time.Millisecond, "time between two requests of a caller")
@@ -174,7 +176,7 @@
 		c = callers.Config{
 			Name: *name, Listen: s.Endpoint("listen", *listen), Fabric: s.Endpoint("fabric", *fabricAt),
 			Orders: target(s, "orders", *orders), Feeds: target(s, "feeds", *feeds), Files: target(s, "files", *files),
-			Dealers: *dealers, Viewers: *viewers, Fitters: *fitters, Pause: *interval, Deadline: *deadline, Seed: *seed,
+			Dealers: *dealers, Shoppers: *shoppers, Viewers: *viewers, Fitters: *fitters, Pause: *interval, Deadline: *deadline, Seed: *seed,
 		}
 		c.IP = c.Listen.IP
 	}
