Judge an instance from every failure domain and let the sides of a cut meet

Cause 1: a probe that failed was repeated through two random balancers, which could stand behind the same cut, and the answer went straight to the asker over the path that was cut. One cut path between two of three failure domains made balancers call 3 of 9 agents' watchers lost (TestOneCutPathIsNoDeath: 6 of 9 agents served). Now one balancer of each failure domain asks, and the answer comes back through it. Cause 2: after a cut both sides held each other for lost and sent their news to their own side only; a lost balancer was probed in one of eight rounds. 30 s after the heal balancers still thought to be in the minority (TestCutDomainKnowsItIsInTheMinority). Now a datagram of a lost sender is answered with what is said of it, its refutation is sent straight back, and failure domains without balancers are probed each second. Ruled out: the refutation itself (versions rose as they should). After: they pass, with the other tests of the fleet in virtual time: in force within 6 s at 20% loss with a frozen and a late balancer, dead agents, paused balancers, duplicate ids.

--- a/peer/announcer.go
+++ b/peer/announcer.go
@@ -149,11 +149,7 @@
 	case *peerpb.Datagram_HeartbeatAck:
 		a.acknowledged(from, body.HeartbeatAck, now)
 	case *peerpb.Datagram_Probe:
-		to := from
-		if body.Probe.AnswerTo != nil {
-			to = toEndpoint(body.Probe.AnswerTo)
-		}
-		a.send(to, &peerpb.Datagram{Body: &peerpb.Datagram_ProbeAck{ProbeAck: &peerpb.ProbeAck{Nonce: body.Probe.Nonce}}})
+		a.send(from, probeAck(body.Probe.Nonce))
 	}
 	return a.out
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -152,6 +152,18 @@
 	}
 }
 
+// Know takes records that are no news, such as those of a fleet that has run for
+// long. The node shares them and never changes them.
+func (n *Node) Know(members []*bramleyfall.Member) {
+	for _, m := range members {
+		if old := n.members.records[m.ID]; old == nil {
+			n.members.add(m)
+			n.markAltered(m)
+		}
+	}
+	n.joined = n.joined || len(members) > 0
+}
+
 // Alone reports whether no other live balancer is known.
 func (n *Node) Alone() bool { return len(n.otherBalancers()) == 0 }
 
@@ -171,13 +183,14 @@
 	}
 	n.lastNews = now
 	n.state.Heard(bramleyfall.Revision(d.Revision))
+	n.answerLost(from, d)
 	switch body := d.Body.(type) {
 	case *peerpb.Datagram_Heartbeat:
 		n.heartbeat(from, body.Heartbeat, now)
 	case *peerpb.Datagram_Rumor:
-		n.rumor(body.Rumor)
+		n.rumor(from, body.Rumor)
 	case *peerpb.Datagram_Probe:
-		n.probeAsked(from, body.Probe)
+		n.probeAsked(from, body.Probe, now)
 	case *peerpb.Datagram_ProbeAck:
 		n.probeAnswered(body.ProbeAck)
 	case *peerpb.Datagram_StatusAsk:
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -14,7 +14,9 @@
 // prober asks other instances whether they live, first directly, then through
 // others.
 type prober struct {
-	pending  map[uint64]*probe
+	pending map[uint64]*probe
+	// relayed holds for whom a probe was sent on, by nonce.
+	relayed  map[uint64]relayedProbe
 	suspects map[bramleyfall.InstanceID]time.Time
 	order    []bramleyfall.InstanceID
 	round    uint64
@@ -22,6 +24,11 @@
 	pullMembers bramleyfall.Endpoint
 }
 
+type relayedProbe struct {
+	asker bramleyfall.Endpoint
+	due   time.Time
+}
+
 type probe struct {
 	target   bramleyfall.InstanceID
 	due      time.Time
@@ -31,6 +38,7 @@
 func newProber() prober {
 	return prober{
 		pending:  make(map[uint64]*probe),
+		relayed:  make(map[uint64]relayedProbe),
 		suspects: make(map[bramleyfall.InstanceID]time.Time),
 	}
 }
@@ -38,6 +46,11 @@
 // probeNext probes the next balancer in a shuffled order.
 func (n *Node) probeNext(now time.Time) {
 	n.probes.round++
+	if len(n.members.orphaned) > 0 {
+		if m := n.randomLostBalancer(); m != nil {
+			n.startProbe(m, now)
+		}
+	}
 	target := n.nextTarget()
 	if target == nil {
 		n.joinContacts()
@@ -103,34 +116,34 @@
 	return &peerpb.Datagram{Body: &peerpb.Datagram_Probe{Probe: p}}
 }
 
-// probeAsked answers a probe, or passes it on to the target it names.
-func (n *Node) probeAsked(from bramleyfall.Endpoint, p *peerpb.Probe) {
-	if p.RelayTo != nil {
-		n.send(toEndpoint(p.RelayTo), probeMessage(&peerpb.Probe{Nonce: p.Nonce, AnswerTo: fromEndpoint(from)}))
+// probeAsked answers a probe, or sends it on to the target that it names. The
+// answer comes back the same way, since the asker may not reach the target.
+func (n *Node) probeAsked(from bramleyfall.Endpoint, p *peerpb.Probe, now time.Time) {
+	if p.RelayTo == nil {
+		n.send(from, probeAck(p.Nonce))
 		return
 	}
-	to := from
-	if p.AnswerTo != nil {
-		to = toEndpoint(p.AnswerTo)
-	}
-	n.send(to, &peerpb.Datagram{Body: &peerpb.Datagram_ProbeAck{ProbeAck: &peerpb.ProbeAck{Nonce: p.Nonce}}})
+	n.probes.relayed[p.Nonce] = relayedProbe{asker: from, due: now.Add(4 * n.config.ProbeTimeout)}
+	n.send(toEndpoint(p.RelayTo), probeMessage(&peerpb.Probe{Nonce: p.Nonce}))
+}
+
+func probeAck(nonce uint64) *peerpb.Datagram {
+	return &peerpb.Datagram{Body: &peerpb.Datagram_ProbeAck{ProbeAck: &peerpb.ProbeAck{Nonce: nonce}}}
 }
 
 func (n *Node) probeAnswered(a *peerpb.ProbeAck) {
+	if r, ok := n.probes.relayed[a.Nonce]; ok {
+		delete(n.probes.relayed, a.Nonce)
+		n.send(r.asker, probeAck(a.Nonce))
+		return
+	}
 	p := n.probes.pending[a.Nonce]
 	if p == nil {
 		return
 	}
 	delete(n.probes.pending, a.Nonce)
-	n.watch.answered(p.target, n.lastNews)
-	if m := n.members.records[p.target]; m != nil && m.State == bramleyfall.MemberLost {
-		// The target lives but does not know that it is called lost.
-		n.rumors.addMember(p.target)
-		n.send(m.Control, &peerpb.Datagram{Body: &peerpb.Datagram_Rumor{Rumor: &peerpb.Rumor{
-			Members: []*peerpb.Member{fromMember(m)},
-		}}})
-	}
 	delete(n.probes.suspects, p.target)
+	n.watch.answered(p.target, n.lastNews)
 }
 
 // probeTimeouts asks through other balancers after a silent direct probe, and
@@ -147,7 +160,7 @@
 		case !p.indirect:
 			p.indirect = true
 			p.due = now.Add(2 * n.config.ProbeTimeout)
-			for _, through := range n.randomPeers(2) {
+			for _, through := range n.helpers(m) {
 				n.send(through, probeMessage(&peerpb.Probe{Nonce: nonce, RelayTo: fromEndpoint(m.Control)}))
 			}
 			n.send(m.Control, probeMessage(&peerpb.Probe{Nonce: nonce}))
@@ -156,9 +169,30 @@
 			n.silent(m, now)
 		}
 	}
+	for nonce, r := range n.probes.relayed {
+		if now.After(r.due) {
+			delete(n.probes.relayed, nonce)
+		}
+	}
 	n.judgeSuspects(now)
 }
 
+// helpers returns one random balancer of each failure domain, the target
+// excepted: a path that failed for this node may be open from elsewhere.
+func (n *Node) helpers(target *bramleyfall.Member) []bramleyfall.Endpoint {
+	var out []bramleyfall.Endpoint
+	for _, name := range n.members.domains() {
+		list := n.members.balancers[name]
+		if len(list) == 0 {
+			continue
+		}
+		if m := list[n.random.IntN(len(list))]; m.ID != n.self.ID && m.ID != target.ID {
+			out = append(out, m.Control)
+		}
+	}
+	return out
+}
+
 // silent handles an instance that answered neither directly nor through others.
 func (n *Node) silent(m *bramleyfall.Member, now time.Time) {
 	if n.Isolated(now) {
--- a/peer/rumor.go
+++ b/peer/rumor.go
@@ -126,12 +126,31 @@
 	return slices.DeleteFunc(all, func(m *bramleyfall.Member) bool { return m.ID == n.self.ID })
 }
 
-func (n *Node) rumor(r *peerpb.Rumor) {
+// rumor takes news. A sender that calls this node lost gets the refutation at
+// once, since it sends its own news to others only.
+func (n *Node) rumor(from bramleyfall.Endpoint, r *peerpb.Rumor) {
+	version := n.self.Version
 	for _, c := range r.Changes {
 		// A malformed change is refused by every instance alike.
 		_ = n.ApplyChange(toChange(c))
 	}
 	n.learnAll(r.Members)
+	if n.self.Version != version {
+		n.sendRecord(from, &n.self)
+	}
+}
+
+func (n *Node) sendRecord(to bramleyfall.Endpoint, m *bramleyfall.Member) {
+	n.send(to, &peerpb.Datagram{Body: &peerpb.Datagram_Rumor{Rumor: &peerpb.Rumor{Members: []*peerpb.Member{fromMember(m)}}}})
+}
+
+// answerLost tells a sender that is called lost what is said of it, so that it
+// refutes. This is how the two sides of a cut find each other again.
+func (n *Node) answerLost(from bramleyfall.Endpoint, d *peerpb.Datagram) {
+	m := n.members.records[bramleyfall.InstanceID(d.Sender)]
+	if m != nil && m.Role == bramleyfall.RoleBalancer && m.State == bramleyfall.MemberLost && uint64(m.Boot) == d.Boot {
+		n.sendRecord(from, m)
+	}
 }
 
 // sendDigest compares whole knowledge with one random peer. A difference makes
