--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 LINT_VERSION := v2.15.0
-MODULES := . agent balancer bench bramley replay scenario standin
+MODULES := . agent balancer bench bramley measure replay scenario standin
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 PROGRAMS := $(foreach m,$(filter-out .,$(MODULES)),./$(m))
 
-.PHONY: build bench demo test lint format tools
+.PHONY: build bench demo measure test lint format tools
 
 build:
 	go build -o bin/ $(PROGRAMS)
@@ -14,6 +14,9 @@
 bench: build
 	bin/bench
 
+measure: build
+	bin/measure
+
 test: build
 	go test -count=1 $(PACKAGES)
 
--- /dev/null
+++ b/measure/main.go
@@ -0,0 +1,63 @@
+// Program measure plays both deployments through the decision code in virtual
+// time, for three routers side by side, and prints what broke, how balanced the
+// upstreams were and how much service was kept.
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+
+	"bramleyfall.example/bramleyfall/settings"
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	s := settings.New("measure", "plays both deployments in virtual time and prints a line for each router and scenario")
+	seed := s.Uint64("seed", 1, "seed of all random choices")
+	only := s.String("scenario", "", "play only this scenario")
+	router := s.String("router", "", "play only this router")
+	deployment := s.String("deployment", "", "play only this deployment")
+	hints := s.Int("hints", 65536, "owner hints of a balancer; 0 for none")
+	share := s.Float64("share", defaultShare, "bounded-load factor; 0 for none")
+	check := func() {
+		if *only != "" && scenarios[*only] == nil {
+			s.Fault("scenario", "%q is none of %v", *only, scenarioNames)
+		}
+	}
+	return settings.Run(s, args, check, func() error {
+		var plays []*play
+		for _, d := range deployments {
+			for _, r := range routerNames {
+				for _, name := range scenarioNames {
+					wanted := (*only == "" || *only == name) && (*router == "" || *router == r) && (*deployment == "" || *deployment == d.name)
+					if wanted {
+						plays = append(plays, &play{deployment: d, router: r, scenario: name, seed: *seed, hints: *hints, share: *share})
+					}
+				}
+			}
+		}
+		playAll(plays)
+		for _, p := range plays {
+			fmt.Println(p.result)
+		}
+		return nil
+	})
+}
+
+// playAll runs the plays at the same time; each has its own world.
+func playAll(plays []*play) {
+	var group sync.WaitGroup
+	slots := make(chan struct{}, 6)
+	for _, p := range plays {
+		group.Go(func() {
+			slots <- struct{}{}
+			p.run()
+			<-slots
+		})
+	}
+	group.Wait()
+}
