Weigh upstreams by their connections, and by slots only when all are taken

Cause: the load that passes openings on was the mean of the shares of slots and of connections in use. One busy slot of five weighed as much as 200 of 2,000 connections, and the slots change within 20 ms, so the lasting connections followed the noise of the moment.

--- a/caller/opening.go
+++ b/caller/opening.go
@@ -9,8 +9,8 @@
 const (
 	// fullLoad in a hop list says that the upstream cannot take the opening.
 	fullLoad uint16 = 65535
-	// maxLoad is the greatest load of an upstream that can take openings.
-	maxLoad uint16 = fullLoad - 1
+	// maxFreeLoad is the greatest load of an upstream with a free slot.
+	maxFreeLoad uint16 = fullLoad / 2
 )
 
 // classLimit is the share of connections and the multiple of slots up to which
@@ -60,11 +60,14 @@
 	return bramleyfall.OK
 }
 
-// load returns the mean of the shares of slots and connections in use.
+// load returns the share of connections in use. An upstream whose slots are all
+// taken is loaded above any that has a free one.
 func (g *FlowGate) load() uint16 {
-	slots := float64(g.busy) / (2 * float64(g.config.Slots))
-	connections := float64(g.live) / float64(g.config.Connections)
-	return uint16(min(1, (slots+connections)/2)*float64(maxLoad-1)) + 1
+	load := uint16(min(1, float64(g.live)/float64(g.config.Connections)) * float64(maxFreeLoad-1))
+	if g.busy >= g.config.Slots {
+		return load + maxFreeLoad
+	}
+	return load + 1
 }
 
 // withinShare reports whether the upstream has no more than its share. At the
