--- a/caller/opening.go
+++ b/caller/opening.go
@@ -9,8 +9,10 @@
 const (
 	// fullLoad in a hop list says that the upstream cannot take the opening.
 	fullLoad uint16 = 65535
-	// maxFreeLoad is the greatest load of an upstream with a free slot.
+	// maxFreeLoad is the greatest load of an upstream whose requests do not queue.
 	maxFreeLoad uint16 = fullLoad / 2
+	// queueing is the number of flows for each slot from which on requests wait.
+	queueing = 2
 )
 
 // classLimit is the share of connections and the multiple of slots up to which
@@ -60,11 +62,11 @@
 	return bramleyfall.OK
 }
 
-// load returns the share of connections in use. An upstream whose slots are all
-// taken is loaded above any that has a free one.
+// load returns the share of connections in use. An upstream whose requests queue
+// is loaded above any whose do not.
 func (g *FlowGate) load() uint16 {
 	load := uint16(min(1, float64(g.live)/float64(g.config.Connections)) * float64(maxFreeLoad-1))
-	if g.busy >= g.config.Slots {
+	if g.busy >= queueing*g.config.Slots {
 		return load + maxFreeLoad
 	}
 	return load + 1
