Let requests under way finish when a failure domain is taken out

Cause: all flows of the domain were reset the moment an agent learned of the change, with the requests that were running; in a second of 310 requests (Federation) 5 to 7 were cut. Ruled out: refusals by the two domains that stay (callers come back after the refusal and place their request then). Mechanism: new flows are refused at once; a flow that waits for an answer has until 2.5 s after the acceptance of the change, counted by the change's own time, so that an instance that learns of it late adds nothing; balancers route no new flows there and stop altogether then.

--- a/agent/state.go
+++ b/agent/state.go
@@ -87,7 +87,7 @@
 		}
 	}
 	d.gate.SetServices(allowed)
-	d.all(d.gate.SetDomain(state.DomainState(d.server.config.Domain)))
+	d.all(d.gate.SetDomain(state.DomainState(d.server.config.Domain), state.LingerUntil(d.server.config.Domain, now), now))
 	d.drainAsAsked(now)
 	d.server.telemetry.Log.Info().Str("Event", "Configured").Uint64("Revision", uint64(d.announcer.Revision())).
 		Int("Services", len(allowed)).Str("Domain", string(state.DomainState(d.server.config.Domain))).Msg("")
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -223,7 +223,7 @@
 		}
 		return
 	}
-	entry := upstream.BuildEntry(&service, state, c.node.Serving(name))
+	entry := upstream.BuildEntry(&service, state, c.node.Serving(name), c.clock.Now())
 	c.record(entry, service.Addresses)
 	c.table.Set(entry, service.Addresses)
 	c.routed[name] = true
--- a/caller/gate.go
+++ b/caller/gate.go
@@ -92,6 +92,9 @@
 	trials   trials
 	epoch    time.Time
 	domain   bramleyfall.DomainState
+	// lingerUntil is the time until which flows that wait for an answer are kept
+	// in a failure domain out of service.
+	lingerUntil time.Time
 	// busy counts flows that wait for an answer of the upstream.
 	busy int
 	// live counts flows that are not closed.
@@ -212,10 +215,13 @@
 		return drop(p, bramleyfall.StaleInstance)
 	}
 	s := g.service(p.Flow)
-	if code := g.mayServe(s, list); code != bramleyfall.OK {
+	f := g.flows[p.Flow]
+	code := g.mayServe(s, list)
+	lingers := code == bramleyfall.NotRunDomainOut && now.Before(g.lingerUntil) && p.Kind != bramleyfall.KindOpening
+	if code != bramleyfall.OK && !(lingers && f != nil) {
 		return g.passOn(p, list, code)
 	}
-	if f := g.flows[p.Flow]; f != nil {
+	if f != nil {
 		return g.known(p, f, list, now)
 	}
 	switch {
--- a/caller/gate_test.go
+++ b/caller/gate_test.go
@@ -189,7 +189,7 @@
 	is := is.New(t)
 	g := newGate(is)
 	establish(is, g)
-	actions := g.SetDomain(bramleyfall.DomainOut)
+	actions := g.SetDomain(bramleyfall.DomainOut, epoch, epoch)
 	is.Equal(len(actions), 1)
 	is.True(actions[0].ToCaller.Reset)
 	is.True(actions[0].ToUpstream.Reset)
@@ -256,3 +256,17 @@
 		})
 	}
 }
+
+func TestDomainOutLetsAnAnswerFinish(t *testing.T) {
+	is := is.New(t)
+	g := newGate(is)
+	establish(is, g) // a request is under way
+	is.Equal(len(g.SetDomain(bramleyfall.DomainOut, epoch.Add(2*time.Second), epoch)), 0)
+	is.Equal(g.FromCaller(opening(), listTo(self), epoch).Kind, bramleyfall.ActionRefuse)
+	is.Equal(g.FromCaller(data(upstreamStart+1), listTo(self), epoch).Kind, bramleyfall.ActionDeliver)
+	answer := &bramleyfall.Packet{Flow: dealer.Reverse(), HasAck: true, Sequence: upstreamStart + 1, Length: 10}
+	is.Equal(g.FromUpstream(answer, epoch).Kind, bramleyfall.ActionReturn)
+	actions := g.Sweep(epoch.Add(time.Second))
+	is.Equal(len(actions), 1) // answered: given up before the time is over
+	is.Equal(actions[0].Kind, bramleyfall.ActionReset)
+}
--- a/caller/lifecycle.go
+++ b/caller/lifecycle.go
@@ -11,6 +11,9 @@
 	// shedPause is the time after a shed in which a warming upstream gets half
 	// of its limit.
 	shedPause = 2 * time.Second
+	// answerTime is the time for which a flow counts as being answered after a
+	// packet of the upstream.
+	answerTime = 300 * time.Millisecond
 	// goneAfter is the time without a packet of the upstream after which a
 	// failing health endpoint is believed.
 	goneAfter = time.Second
@@ -101,16 +104,46 @@
 }
 
 // SetDomain tells the gate the state of its failure domain. When the domain is
-// taken out, the actions reset all flows at both ends.
-func (g *FlowGate) SetDomain(state bramleyfall.DomainState) []bramleyfall.Action {
+// taken out, the actions reset all flows at both ends, but for those that wait
+// for an answer: they have until the given time.
+func (g *FlowGate) SetDomain(state bramleyfall.DomainState, until, now time.Time) []bramleyfall.Action {
 	if state == g.domain {
 		return nil
 	}
 	g.domain = state
+	g.lingerUntil = time.Time{}
 	if state == bramleyfall.DomainIn {
 		return nil
 	}
-	return g.resetAll(bramleyfall.NotRunDomainOut, true)
+	if !now.Before(until) {
+		return g.resetAll(bramleyfall.NotRunDomainOut, true)
+	}
+	g.lingerUntil = until
+	return g.endLingering(now)
+}
+
+// endLingering gives up the flows of a failure domain out of service that wait
+// for nothing, and all of them when the time is over.
+func (g *FlowGate) endLingering(now time.Time) []bramleyfall.Action {
+	if g.lingerUntil.IsZero() {
+		return nil
+	}
+	if !now.Before(g.lingerUntil) {
+		g.lingerUntil = time.Time{}
+		return g.resetAll(bramleyfall.NotRunDomainOut, true)
+	}
+	var actions []bramleyfall.Action
+	at := g.millis(now)
+	for _, key := range g.sortedFlows() {
+		f := g.flows[key]
+		answering := f.waiting || f.asked && at-f.lastUpstream < millis(answerTime)
+		if answering || f.state == g.chart.closed || key.Protocol != bramleyfall.TCP {
+			continue
+		}
+		actions = append(actions, g.giveUp(key, f, bramleyfall.NotRunDomainOut, true))
+		g.forget(key, f)
+	}
+	return actions
 }
 
 // resetAll gives up all flows.
--- a/caller/sweep.go
+++ b/caller/sweep.go
@@ -25,7 +25,7 @@
 // probes ends that are silent and gives up flows whose ends stay so.
 func (g *FlowGate) Sweep(now time.Time) []bramleyfall.Action {
 	g.warmedUp(now)
-	var actions []bramleyfall.Action
+	actions := g.endLingering(now)
 	at := g.millis(now)
 	for key, f := range g.flows {
 		if a, ok := g.sweepFlow(key, f, at); ok {
--- a/configuration/state.go
+++ b/configuration/state.go
@@ -11,6 +11,7 @@
 	"path"
 	"slices"
 	"strings"
+	"time"
 
 	"bramleyfall.example/bramleyfall"
 )
@@ -270,6 +271,35 @@
 	return bramleyfall.DomainIn
 }
 
+// OutLinger is the time after the acceptance of a change that takes a failure
+// domain out in which requests under way there may still be answered.
+const OutLinger = 2500 * time.Millisecond
+
+// DomainLingers reports whether a failure domain was taken out so lately that
+// requests under way there may still be answered. The time counts from the
+// acceptance, so that an instance that learns of it late adds nothing.
+func (s *State) DomainLingers(name bramleyfall.DomainName, now time.Time) bool {
+	c, ok := s.items[DomainKey(name)]
+	if !ok || s.DomainState(name) != bramleyfall.DomainOut {
+		return false
+	}
+	age := now.Sub(c.At)
+	return age < OutLinger && age > -OutLinger
+}
+
+// LingerUntil returns the time until which an agent of a failure domain lets
+// requests under way finish; it is now where the domain does not linger.
+func (s *State) LingerUntil(name bramleyfall.DomainName, now time.Time) time.Time {
+	if !s.DomainLingers(name, now) {
+		return now
+	}
+	until := s.items[DomainKey(name)].At.Add(OutLinger)
+	if most := now.Add(OutLinger); until.After(most) {
+		return most
+	}
+	return until
+}
+
 // Allows reports whether operators let the upstream serve the service.
 func Allows(service *bramleyfall.Service, upstream bramleyfall.InstanceID) bool {
 	for _, pattern := range service.Allowed {
--- a/measure/server.go
+++ b/measure/server.go
@@ -67,7 +67,8 @@
 		}
 	}
 	s.gate.SetServices(allowed)
-	s.act(s.gate.SetDomain(state.DomainState(s.agent.Member.Domain)))
+	now, domain := s.world.Now(), s.agent.Member.Domain
+	s.act(s.gate.SetDomain(state.DomainState(domain), state.LingerUntil(domain, now), now))
 	s.gate.SetDraining(state.Drained(s.agent.Member.ID), s.world.Now())
 	s.announce()
 }
--- a/measure/world.go
+++ b/measure/world.go
@@ -153,7 +153,7 @@
 	}
 	for _, name := range services {
 		if s, ok := b.Node.State().Service(name); ok {
-			b.table.Set(upstream.BuildEntry(&s, b.Node.State(), b.Node.Serving(name)), s.Addresses)
+			b.table.Set(upstream.BuildEntry(&s, b.Node.State(), b.Node.Serving(name), w.Now()), s.Addresses)
 		}
 	}
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -100,6 +100,8 @@
 	lastNews time.Time
 	// contact are balancers to ask when no member is known.
 	contact []bramleyfall.Endpoint
+	// lingering holds the failure domains that were taken out a moment ago.
+	lingering map[bramleyfall.DomainName]bool
 	// joined is set once the membership of a peer was taken.
 	joined bool
 	// altered collects the services whose routing may have changed.
@@ -136,6 +138,7 @@
 		lastNews:  now,
 		altered:   make(map[bramleyfall.ServiceName]bool),
 		sequences: make(map[string]senderSequence),
+		lingering: make(map[bramleyfall.DomainName]bool),
 	}
 	n.learn(self)
 	return n
@@ -241,7 +244,7 @@
 		n.watchAgents(now)
 	}
 	n.probeTimeouts(now)
-	if n.members.checkOrphans(now, n.config.OrphanGrace) {
+	if n.members.checkOrphans(now, n.config.OrphanGrace) || n.lingersEnded(now) {
 		n.allMoved = true
 	}
 	if due(&n.nextDue.digest, n.config.DigestEvery, now) {
@@ -250,6 +253,18 @@
 	return n.out
 }
 
+// lingersEnded reports whether the last requests of a failure domain that was
+// taken out are no longer waited for.
+func (n *Node) lingersEnded(now time.Time) bool {
+	ended := false
+	for name := range n.state.Domains() {
+		lingers := n.state.DomainLingers(name, now)
+		ended = ended || n.lingering[name] && !lingers
+		n.lingering[name] = lingers
+	}
+	return ended
+}
+
 func due(next *time.Time, every time.Duration, now time.Time) bool {
 	if now.Before(*next) {
 		return false
--- a/trace.go
+++ b/trace.go
@@ -67,6 +67,7 @@
 	List     *HopList      `json:",omitempty"`
 	Services []Service     `json:",omitempty"`
 	Domain   DomainState   `json:",omitempty"`
+	Until    time.Time     `json:",omitzero"`
 	Draining bool          `json:",omitempty"`
 	Dead     bool          `json:",omitempty"`
 	Boot     BootID        `json:",omitempty"`
--- a/trace/gate.go
+++ b/trace/gate.go
@@ -95,9 +95,11 @@
 }
 
 // SetDomain is caller.FlowGate.SetDomain, recorded.
-func (g *Gate) SetDomain(state bramleyfall.DomainState) []bramleyfall.Action {
-	actions := g.FlowGate.SetDomain(state)
-	g.record(bramleyfall.TraceEvent{Kind: bramleyfall.TraceGate, Call: bramleyfall.CallSetDomain, Domain: state, Actions: actionTraces(actions...)})
+func (g *Gate) SetDomain(state bramleyfall.DomainState, until, now time.Time) []bramleyfall.Action {
+	actions := g.FlowGate.SetDomain(state, until, now)
+	g.record(bramleyfall.TraceEvent{
+		Kind: bramleyfall.TraceGate, At: now, Call: bramleyfall.CallSetDomain, Domain: state, Until: until, Actions: actionTraces(actions...),
+	})
 	return actions
 }
 
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -210,7 +210,7 @@
 	case bramleyfall.CallSetServices:
 		r.gate.SetServices(e.Services)
 	case bramleyfall.CallSetDomain:
-		return r.gate.SetDomain(e.Domain), nil
+		return r.gate.SetDomain(e.Domain, e.Until, e.At), nil
 	case bramleyfall.CallSetDraining:
 		r.gate.SetDraining(e.Draining, e.At)
 	case bramleyfall.CallUpstreamStarted:
--- a/upstream/table_test.go
+++ b/upstream/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -199,7 +200,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			e := upstream.BuildEntry(&service, state, []bramleyfall.Member{test.member})
+			e := upstream.BuildEntry(&service, state, []bramleyfall.Member{test.member}, time.Unix(1_800_000_000, 0))
 			is.Equal(len(e.Candidates), test.candidates)
 			if len(e.Candidates) > 0 {
 				is.Equal(e.Candidates[0].Open, test.open)
