--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 LINT_VERSION := v2.15.0
-MODULES := . agent balancer bench bramley measure replay scenario standin
+MODULES := . agent balancer bench bramley measure replay scenario slopes standin
 PACKAGES := $(foreach m,$(MODULES),./$(m)/...)
 PROGRAMS := $(foreach m,$(filter-out .,$(MODULES)),./$(m))
 
-.PHONY: build bench demo measure test lint format tools
+.PHONY: build bench demo measure slopes test lint format tools
 
 build:
 	go build -o bin/ $(PROGRAMS)
@@ -17,6 +17,9 @@
 measure: build
 	bin/measure
 
+slopes: build
+	bin/slopes
+
 test: build
 	go test -count=1 $(PACKAGES)
 
--- a/balancer/platform.go
+++ b/balancer/platform.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// readersPerDomain is the number of balancers of a failure domain that
-	// watch the platform.
-	readersPerDomain = 3
 	// readerCheck is the time between two looks at who reads.
 	readerCheck = time.Second
 )
@@ -84,7 +81,7 @@
 
 func (s *server) isReader() bool {
 	reads := false
-	_ = s.controller.do(context.Background(), func() { reads = s.controller.node.IsReader(readersPerDomain) })
+	_ = s.controller.do(context.Background(), func() { reads = s.controller.node.IsReader(platform.ReadersPerDomain) })
 	return reads
 }
 
--- a/caller/gate.go
+++ b/caller/gate.go
@@ -218,7 +218,7 @@
 	f := g.flows[p.Flow]
 	code := g.mayServe(s, list)
 	lingers := code == bramleyfall.NotRunDomainOut && now.Before(g.lingerUntil) && p.Kind != bramleyfall.KindOpening
-	if code != bramleyfall.OK && !(lingers && f != nil) {
+	if code != bramleyfall.OK && (!lingers || f == nil) {
 		return g.passOn(p, list, code)
 	}
 	if f != nil {
--- a/peer/node.go
+++ b/peer/node.go
@@ -167,6 +167,13 @@
 	n.joined = n.joined || len(members) > 0
 }
 
+// Hear takes a record as if its instance had announced it here.
+func (n *Node) Hear(m bramleyfall.Member) { n.learn(m) }
+
+// LiveBalancers returns the number of balancers that are not lost, this one
+// included.
+func (n *Node) LiveBalancers() int { return len(n.members.liveBalancers()) }
+
 // Alone reports whether no other live balancer is known.
 func (n *Node) Alone() bool { return len(n.otherBalancers()) == 0 }
 
--- /dev/null
+++ b/slopes/control.go
@@ -0,0 +1,304 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/configuration"
+	"bramleyfall.example/bramleyfall/peer"
+	"bramleyfall.example/bramleyfall/peer/peerpb"
+	"bramleyfall.example/bramleyfall/platform"
+	"bramleyfall.example/bramleyfall/virtual"
+)
+
+// The aim that the rates are scaled to.
+const (
+	aimBalancers      = 3600
+	aimAgents         = 31000
+	aimDomains        = 7
+	aimChangesADay    = 11000
+	aimReplacedADay   = 10000
+	secondsADay       = 86400
+	recordsAReplacing = 3
+	// systemCall is the processor time in nanoseconds to send or receive one
+	// datagram, from the bare relay of bench.
+	systemCall = 4000
+	// regionDelay is the one-way delay between failure domains.
+	regionDelay = 5 * time.Millisecond
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// grownFleet returns a fleet of balancers that know each other, as after a long
+// run, with agents that announce themselves.
+func grownFleet(balancers, agents int, seed uint64) *virtual.Fleet {
+	f := virtual.NewFleet(virtual.NewQueue(epoch), seed)
+	f.Timed = true
+	f.Delay = func(_, _ bramleyfall.DomainName) (time.Duration, bool) { return regionDelay, true }
+	members := make([]*bramleyfall.Member, balancers)
+	for i := range members {
+		m := f.NewMember(fmt.Sprintf("balancer-%d", i), bramleyfall.RoleBalancer, virtual.DomainName(i%aimDomains))
+		members[i] = &m
+	}
+	for _, m := range members {
+		f.AddBalancer(*m, nil, members)
+	}
+	for i := range agents {
+		addAgent(f, i, 0)
+	}
+	return f
+}
+
+func addAgent(f *virtual.Fleet, n, generation int) *virtual.Agent {
+	m := f.NewMember(fmt.Sprintf("service-%d-%d", n/4, n), bramleyfall.RoleAgent, virtual.DomainName(n%aimDomains))
+	m.Services = []bramleyfall.ServiceName{bramleyfall.ServiceName(fmt.Sprintf("service-%d", n/4))}
+	b := f.Balancers[(n+generation*7)%len(f.Balancers)]
+	a := f.AddAgent(m, []bramleyfall.Endpoint{b.Member.Control})
+	a.Announcer.Announce(true, m.Boot)
+	return a
+}
+
+func serviceChange(r bramleyfall.Revision, at time.Time) bramleyfall.Change {
+	n := int(r) % 7700
+	value, err := json.Marshal(bramleyfall.Service{
+		Name: bramleyfall.ServiceName(fmt.Sprintf("service-%d", n)), Addresses: []bramleyfall.ServiceAddress{serviceAddress(n)},
+		Allowed: []string{fmt.Sprintf("service-%d-*", n)},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return bramleyfall.Change{
+		Revision: r, ID: bramleyfall.ChangeID(fmt.Sprintf("c-%012d", r)), Key: configuration.ServiceKey(bramleyfall.ServiceName(fmt.Sprintf("service-%d", n))),
+		Value: value, Actor: "operator", At: at,
+	}
+}
+
+// churn lets changes be accepted and instances be replaced at the rates of the
+// aim, the latter scaled to the fleet. Replacements show as records at random
+// balancers, as their watchers would learn of them.
+func churn(f *virtual.Fleet, scale float64) *bramleyfall.Revision {
+	revision := new(bramleyfall.Revision)
+	f.Every(time.Second, secondsADay*time.Second/aimChangesADay, func() bool {
+		*revision++
+		c := serviceChange(*revision, f.Now())
+		for i := range min(3*aimDomains, len(f.Balancers)) {
+			if err := f.Accept(f.Balancers[i], c); err != nil {
+				panic(err)
+			}
+		}
+		return true
+	})
+	records := float64(aimReplacedADay*recordsAReplacing) / secondsADay * scale
+	n := 0
+	f.Every(time.Second, time.Duration(float64(time.Second)/records), func() bool {
+		n++
+		m := f.NewMember(fmt.Sprintf("replaced-%d", n), bramleyfall.RoleAgent, virtual.DomainName(n%aimDomains))
+		m.Services = []bramleyfall.ServiceName{"service-1"}
+		f.Balancers[n%len(f.Balancers)].Node.Hear(m)
+		return true
+	})
+	return revision
+}
+
+// cost is what a balancer spends for control a second.
+type cost struct {
+	bytes, messages, core float64
+}
+
+func costOf(f *virtual.Fleet, d time.Duration) cost {
+	var bytes, messages uint64
+	var busy time.Duration
+	for _, b := range f.Balancers {
+		bytes += b.Bytes
+		messages += b.Messages
+		busy += b.Busy
+		b.Bytes, b.Messages, b.Busy = 0, 0, 0
+	}
+	n := float64(len(f.Balancers)) * d.Seconds()
+	c := cost{bytes: float64(bytes) / n, messages: float64(messages) / n}
+	nanoseconds := float64(busy.Nanoseconds())/n + c.messages*(datagramCost/2+systemCall)
+	c.core = 100 * nanoseconds / float64(time.Second)
+	return c
+}
+
+func (t *table) addCost(role, against string, x float64, c cost) {
+	t.add(role, against, x, "ControlBytesPerSecond", c.bytes)
+	t.add(role, against, x, "MessagesPerSecond", c.messages)
+	t.add(role, against, x, "CorePercent", c.core)
+}
+
+// fleetSizes measures what balancers spend on each other against their number,
+// with configuration and membership changing at the rates of the aim, and how
+// long a change takes to be in force.
+func fleetSizes(t *table, largest int) {
+	const measured = 20 * time.Second
+	for _, size := range []int{3, 30, 100, 300, 1000, 3600} {
+		if size > largest {
+			continue
+		}
+		f := grownFleet(size, 0, 1)
+		churn(f, float64(size)/aimBalancers)
+		f.Run(5 * time.Second)
+		costOf(f, time.Second)
+		f.Run(measured)
+		t.addCost("Balancer", "Instances", float64(size), costOf(f, measured))
+		t.add("Balancer", "Instances", float64(size), "InForceSeconds", inForce(f, 1_000_000).Seconds())
+	}
+}
+
+// inForce has a change accepted and returns the time until all have it. The
+// change skips to a revision of its own by a snapshot.
+func inForce(f *virtual.Fleet, revision bramleyfall.Revision) time.Duration {
+	const step, most = 50 * time.Millisecond, time.Minute
+	for _, b := range f.Balancers {
+		b.Node.ApplyFull(nil, revision-1)
+	}
+	start := f.Now()
+	for i := range min(3*aimDomains, len(f.Balancers)) {
+		if err := f.Accept(f.Balancers[i], serviceChange(revision, start)); err != nil {
+			panic(err)
+		}
+	}
+	for f.Now().Sub(start) < most {
+		f.Run(step)
+		if f.Lagging(revision) == 0 {
+			break
+		}
+	}
+	return f.Now().Sub(start)
+}
+
+// heartbeats measures what watched agents cost a balancer, and an agent.
+func heartbeats(t *table) {
+	const balancers, measured = 21, 30 * time.Second
+	for _, agents := range []int{21, 84, 182, 364} {
+		f := grownFleet(balancers, agents, 2)
+		f.Run(10 * time.Second)
+		costOf(f, time.Second)
+		for _, a := range f.Agents {
+			a.Bytes, a.Messages = 0, 0
+		}
+		f.Run(measured)
+		watched := 3 * float64(agents) / balancers
+		t.addCost("Balancer", "WatchedAgents", watched, costOf(f, measured))
+		bytes, messages := 0.0, 0.0
+		for _, a := range f.Agents {
+			bytes += float64(a.Bytes)
+			messages += float64(a.Messages)
+		}
+		n := float64(agents) * measured.Seconds()
+		t.add("Agent", "WatchedAgents", watched, "ControlBytesPerSecond", bytes/n)
+		t.add("Agent", "WatchedAgents", watched, "MessagesPerSecond", messages/n)
+		t.add("Agent", "WatchedAgents", watched, "InForceSeconds", inForce(f, 1_000_000).Seconds())
+	}
+}
+
+// losses measures how long a change takes against the share of datagrams that
+// is lost between failure domains.
+func losses(t *table) {
+	for _, percent := range []int{0, 10, 20, 40} {
+		f := grownFleet(300, 0, 3)
+		n := 0
+		f.Delay = func(from, to bramleyfall.DomainName) (time.Duration, bool) {
+			n++
+			return regionDelay, from == to || n%100 >= percent
+		}
+		f.Run(5 * time.Second)
+		t.add("Balancer", "LossPercent", float64(percent), "InForceSeconds", inForce(f, 1_000_000).Seconds())
+	}
+}
+
+// regionCut cuts two regions for an hour, while changes are accepted on one
+// side and instances are replaced on both, and measures the recovery.
+func regionCut(t *table) {
+	const east = 4
+	region := make(map[bramleyfall.DomainName]bool)
+	for d := range aimDomains {
+		region[virtual.DomainName(d)] = d < east
+	}
+	for _, size := range []int{14, 35, 70} {
+		f := grownFleet(size, 0, 4)
+		f.Timed = false
+		revision := churn(f, float64(size)/aimBalancers)
+		f.Run(10 * time.Second)
+		whole := f.Delay
+		f.Delay = func(from, to bramleyfall.DomainName) (time.Duration, bool) {
+			return regionDelay, region[from] == region[to]
+		}
+		f.Run(time.Hour)
+		f.Delay = whole
+		costOf(f, time.Second)
+		start := f.Now()
+		for f.Now().Sub(start) < 5*time.Minute && !recovered(f, *revision) {
+			f.Run(500 * time.Millisecond)
+		}
+		took := f.Now().Sub(start)
+		t.add("Balancer", "InstancesAfterAnHourCut", float64(size), "RecoverySeconds", took.Seconds())
+		t.add("Balancer", "InstancesAfterAnHourCut", float64(size), "ControlBytesPerSecond", costOf(f, took).bytes)
+	}
+}
+
+// recovered reports whether all balancers call each other live and have the
+// revision.
+func recovered(f *virtual.Fleet, revision bramleyfall.Revision) bool {
+	for _, b := range f.Balancers {
+		if b.Node.State().Revision() < revision {
+			return false
+		}
+		if b.Node.LiveBalancers() < len(f.Balancers) {
+			return false
+		}
+	}
+	return true
+}
+
+// catchUp measures the bytes of a pull from the point where two instances part
+// against those of a whole snapshot.
+func catchUp(t *table) {
+	f := grownFleet(1, 0, 5)
+	node := f.Balancers[0].Node
+	const services = 7700
+	for r := range bramleyfall.Revision(services) {
+		if err := node.ApplyChange(serviceChange(r+1, epoch)); err != nil {
+			panic(err)
+		}
+	}
+	size := func(behind uint64) float64 {
+		return float64(proto.Size(node.Pull(&peerpb.PullRequest{Revision: services - behind})))
+	}
+	for _, behind := range []uint64{1, 10, 100, 458, 1000} {
+		t.add("Balancer", "ChangesBehind", float64(behind), "PullBytes", size(behind))
+	}
+	t.add("Balancer", "Services", services, "SnapshotBytes", size(services))
+}
+
+// platformLoad counts the readers of the platform against the fleet's size and
+// the calls that they make.
+func platformLoad(t *table) {
+	for _, size := range []int{3, 30, 300, 3600} {
+		f := virtual.NewFleet(virtual.NewQueue(epoch), 6)
+		members := make([]*bramleyfall.Member, size)
+		for i := range members {
+			m := f.NewMember(fmt.Sprintf("balancer-%d", i), bramleyfall.RoleBalancer, virtual.DomainName(i%aimDomains))
+			members[i] = &m
+		}
+		readers := 0
+		for _, m := range members {
+			node := peer.NewNode(*m, configuration.New(), epoch)
+			node.Know(members)
+			if node.IsReader(platform.ReadersPerDomain) {
+				readers++
+			}
+		}
+		renewals := float64(readers) / (platform.ContactTTL / 3).Seconds()
+		// A reader holds one watch, which waits and counts as one call, and with
+		// each renewal of its lease reads the contact points.
+		t.add("Platform", "Instances", float64(size), "Watches", float64(readers))
+		t.add("Platform", "Instances", float64(size), "PlatformReadsPerSecond", renewals)
+		t.add("Platform", "Instances", float64(size), "PlatformWritesPerSecond", renewals+aimChangesADay/float64(secondsADay))
+	}
+}
--- /dev/null
+++ b/slopes/main.go
@@ -0,0 +1,39 @@
+// Program slopes measures how the costs of each role grow with the size of the
+// fleet, prints each point with the fit through it, and draws the curves.
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+
+	"bramleyfall.example/bramleyfall/settings"
+)
+
+func main() {
+	s := settings.New("slopes", "measures how the costs of each role grow and draws the curves")
+	folder := s.String("out", "out/slopes", "folder for the curves")
+	largest := s.Int("largest", 3600, "greatest number of balancers")
+	os.Exit(settings.Run(s, os.Args[1:], func() {}, func() error { return run(*folder, *largest) }))
+}
+
+func run(folder string, largest int) error {
+	t := &table{}
+	// Timings first, while nothing else runs.
+	routing(t)
+	gates(t)
+	datagrams(t)
+	var group sync.WaitGroup
+	for _, part := range []func(*table){
+		func(t *table) { fleetSizes(t, largest) }, heartbeats, losses, regionCut, catchUp, platformLoad,
+	} {
+		group.Go(func() { part(t) })
+	}
+	group.Wait()
+	t.print()
+	if err := t.draw(folder); err != nil {
+		return err
+	}
+	fmt.Println("Slopes Curves=" + folder)
+	return nil
+}
