Bring a balancer's heartbeats within the control budget

Cause: each agent sent its whole record to three watchers every 2 s and got the watchers' addresses back each time; the cap of 2 s on the time between heartbeats overrode the budget of 700 bytes a second, and every change of configuration made every agent report to all watchers at once. Mechanism: the record and the list of watchers travel only while the other side lacks them (version and hash tell); the first watcher hears an agent within 3 s, the two others in four times that; an agent reports at once only a change that concerns it. When a balancer is lost, the next first watcher asks for agents that may have died with it. A watcher no longer speaks up for an agent that others call lost: with rare heartbeats it had refuted true judgements (TestDeadAgentIsJudgedAndForgotten failed); the agent sees the claim in its next answer and refutes it itself.

--- a/agent/state.go
+++ b/agent/state.go
@@ -104,7 +104,7 @@
 	d.drainAsAsked(d.server.clock.Now())
 }
 
-func (d *decider) leave() { d.send(d.announcer.Leave(d.server.clock.Now())) }
+func (d *decider) leave() { d.send(d.announcer.Leave()) }
 
 // upstreamAnswers takes what the upstream says of itself.
 func (d *decider) upstreamAnswers(h health) {
--- a/peer/announcer.go
+++ b/peer/announcer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bramleyfall.example/bramleyfall"
@@ -22,19 +23,32 @@
 // balancers that watch it and takes the configuration that concerns it from
 // their answers. It is not safe for concurrent use.
 type Announcer struct {
-	self      bramleyfall.Member
-	state     *configuration.State
-	revision  bramleyfall.Revision
-	seeds     []bramleyfall.Endpoint
-	watchers  map[bramleyfall.Endpoint]time.Time
-	fallbacks []bramleyfall.Endpoint
-	every     time.Duration
-	next      time.Time
-	sequence  uint64
-	flows     int
-	busy      int
-	random    *rand.Rand
-	out       []Outgoing
+	self     bramleyfall.Member
+	state    *configuration.State
+	revision bramleyfall.Revision
+	seeds    []bramleyfall.Endpoint
+	// watchers are the balancers that watch the agent, the first one first.
+	watchers     []watcher
+	watchersHash uint64
+	fallbacks    []bramleyfall.Endpoint
+	every        time.Duration
+	next         time.Time
+	sequence     uint64
+	flows        int
+	busy         int
+	random       *rand.Rand
+	out          []Outgoing
+}
+
+// watcher is a balancer that watches the agent.
+type watcher struct {
+	control bramleyfall.Endpoint
+	domain  bramleyfall.DomainName
+	// heard is the time of its last answer, known the version that it showed.
+	heard time.Time
+	known uint64
+	// next is the time of the next heartbeat to it.
+	next time.Time
 }
 
 // NewAnnouncer returns the announcer of an agent. Seeds are balancers to ask
@@ -44,12 +58,11 @@
 	self.State = bramleyfall.MemberDraining
 	self.Version = max(self.Version, 1)
 	return &Announcer{
-		self:     self,
-		state:    configuration.New(),
-		seeds:    seeds,
-		watchers: make(map[bramleyfall.Endpoint]time.Time),
-		every:    firstHeartbeatEvery,
-		random:   rand.New(rand.NewPCG(seed, uint64(self.Key()))),
+		self:   self,
+		state:  configuration.New(),
+		seeds:  seeds,
+		every:  firstHeartbeatEvery,
+		random: rand.New(rand.NewPCG(seed, uint64(self.Key()))),
 	}
 }
 
@@ -76,59 +89,76 @@
 	a.self.State = state
 	a.self.UpstreamBoot = upstreamBoot
 	a.self.Version++
-	a.next = time.Time{}
+	a.hurryAll()
 }
 
 // SetLoad sets the load that heartbeats report.
 func (a *Announcer) SetLoad(flows, busy int) { a.flows, a.busy = flows, busy }
 
-// Hurry makes the next heartbeat due, because a packet showed a newer revision.
+// hurryAll makes a heartbeat to all watchers due.
+func (a *Announcer) hurryAll() {
+	a.next = time.Time{}
+	for i := range a.watchers {
+		a.watchers[i].next = time.Time{}
+	}
+}
+
+// Hurry makes the next heartbeat to the first watcher due, because a packet
+// showed a newer revision.
 func (a *Announcer) Hurry(revision bramleyfall.Revision, now time.Time) {
-	if revision > a.revision && a.next.After(now.Add(firstHeartbeatEvery/2)) {
-		a.next = now.Add(firstHeartbeatEvery / 10)
+	if revision > a.revision && len(a.watchers) > 0 && a.watchers[0].next.After(now.Add(firstHeartbeatEvery/2)) {
+		a.watchers[0].next = now.Add(firstHeartbeatEvery / 10)
 	}
 }
 
 // Tick returns the heartbeats that are due at now.
 func (a *Announcer) Tick(now time.Time) []Outgoing {
-	if now.Before(a.next) {
-		return nil
+	a.out = nil
+	answered := false
+	for i := range a.watchers {
+		w := &a.watchers[i]
+		answered = answered || a.answers(w, now)
+		if now.Before(w.next) {
+			continue
+		}
+		every := a.every
+		if i > 0 && a.answers(&a.watchers[0], now) {
+			every *= standbyFactor
+		}
+		w.next = now.Add(a.jittered(every))
+		a.heartbeat(w.control, w.known != a.self.Version)
+	}
+	if !answered && !now.Before(a.next) {
+		a.next = now.Add(a.jittered(firstHeartbeatEvery))
+		for _, to := range append(slices.Clone(a.fallbacks), a.seeds...) {
+			a.heartbeat(to, true)
+		}
 	}
-	a.next = now.Add(a.jittered())
-	return a.heartbeats(now)
+	return a.out
+}
+
+// answers reports whether a watcher has answered lately.
+func (a *Announcer) answers(w *watcher, now time.Time) bool {
+	return now.Sub(w.heard) <= silentHeartbeats*a.every
 }
 
 // jittered spreads the heartbeats of many agents over time.
-func (a *Announcer) jittered() time.Duration {
+func (a *Announcer) jittered(every time.Duration) time.Duration {
 	const spread = 0.1
-	return time.Duration(float64(a.every) * (1 + spread*(2*a.random.Float64()-1)))
+	return time.Duration(float64(every) * (1 + spread*(2*a.random.Float64()-1)))
 }
 
-func (a *Announcer) heartbeats(now time.Time) []Outgoing {
-	a.out = nil
+// heartbeat announces the agent, with its whole record where it may not be
+// known.
+func (a *Announcer) heartbeat(to bramleyfall.Endpoint, whole bool) {
 	h := &peerpb.Heartbeat{
-		Member: fromMember(&a.self), Revision: uint64(a.revision),
+		Version: a.self.Version, Revision: uint64(a.revision), WatchersHash: a.watchersHash,
 		Flows: uint32(a.flows), Busy: uint32(a.busy),
 	}
-	for _, to := range a.targets(now) {
-		a.send(to, &peerpb.Datagram{Body: &peerpb.Datagram_Heartbeat{Heartbeat: h}})
+	if whole {
+		h.Member = fromMember(&a.self)
 	}
-	return a.out
-}
-
-// targets returns the watchers, or others while no watcher answers.
-func (a *Announcer) targets(now time.Time) []bramleyfall.Endpoint {
-	var targets []bramleyfall.Endpoint
-	answered := false
-	for to, heard := range a.watchers {
-		targets = append(targets, to)
-		answered = answered || now.Sub(heard) <= silentHeartbeats*a.every
-	}
-	if answered {
-		return targets
-	}
-	targets = append(targets, a.fallbacks...)
-	return append(targets, a.seeds...)
+	a.send(to, &peerpb.Datagram{Body: &peerpb.Datagram_Heartbeat{Heartbeat: h}})
 }
 
 func (a *Announcer) send(to bramleyfall.Endpoint, d *peerpb.Datagram) {
@@ -155,27 +185,47 @@
 }
 
 func (a *Announcer) acknowledged(from bramleyfall.Endpoint, ack *peerpb.HeartbeatAck, now time.Time) {
+	a.rewatch(ack)
+	for i := range a.watchers {
+		if a.watchers[i].control == from {
+			a.noteAnswer(&a.watchers[i], ack, now)
+		}
+	}
 	a.refute(ack)
-	a.rewatch(from, ack, now)
 	for _, c := range toChanges(ack.Changes) {
 		// A malformed change is refused by every instance alike.
 		_, _ = a.state.Apply(c)
 	}
 	if r := bramleyfall.Revision(ack.Revision); r > a.revision {
 		a.revision = r
-		a.next = now
+		if len(ack.Changes) > 0 && len(a.watchers) > 0 {
+			a.watchers[0].next = time.Time{}
+		}
 	}
 	if ack.NextMillis > 0 {
 		a.every = time.Duration(ack.NextMillis) * time.Millisecond
 	}
 }
 
+// noteAnswer notes what a watcher knows. One that lacks the newest record gets
+// it at once.
+func (a *Announcer) noteAnswer(w *watcher, ack *peerpb.HeartbeatAck, now time.Time) {
+	w.heard = now
+	w.known = 0
+	if ack.KnownBoot == uint64(a.self.Boot) {
+		w.known = ack.KnownVersion
+	}
+	if w.known < a.self.Version {
+		w.next = time.Time{}
+	}
+}
+
 // refute raises the own version over a record that others hold, such as one
 // that calls the agent lost.
 func (a *Announcer) refute(ack *peerpb.HeartbeatAck) {
 	if ack.KnownBoot == uint64(a.self.Boot) && ack.KnownVersion > a.self.Version {
 		a.self.Version = ack.KnownVersion + 1
-		a.next = time.Time{}
+		a.hurryAll()
 	}
 }
 
@@ -187,30 +237,40 @@
 
 // rewatch takes the watchers that an answer names and notes which failure
 // domain watches the agent now.
-func (a *Announcer) rewatch(from bramleyfall.Endpoint, ack *peerpb.HeartbeatAck, now time.Time) {
-	next := make(map[bramleyfall.Endpoint]time.Time, len(ack.Watchers))
-	for _, w := range ack.Watchers {
-		to := toEndpoint(w.Control)
-		next[to] = a.watchers[to]
+func (a *Announcer) rewatch(ack *peerpb.HeartbeatAck) {
+	if ack.WatchersHash == 0 || ack.WatchersHash == a.watchersHash {
+		return
 	}
-	if _, ok := next[from]; ok {
-		next[from] = now
+	a.watchersHash = ack.WatchersHash
+	old := a.watchers
+	a.watchers = nil
+	for _, p := range ack.Watchers {
+		w := watcher{control: toEndpoint(p.Control), domain: bramleyfall.DomainName(p.Domain)}
+		for _, x := range old {
+			if x.control == w.control {
+				w = x
+			}
+		}
+		a.watchers = append(a.watchers, w)
 	}
-	a.watchers = next
 	a.fallbacks = a.fallbacks[:0]
 	for _, w := range ack.Fallbacks {
 		a.fallbacks = append(a.fallbacks, toEndpoint(w.Control))
 	}
-	if len(ack.Watchers) > 0 && a.self.Home != bramleyfall.DomainName(ack.Watchers[0].Domain) {
-		a.self.Home = bramleyfall.DomainName(ack.Watchers[0].Domain)
+	if len(a.watchers) > 0 && a.self.Home != a.watchers[0].domain {
+		a.self.Home = a.watchers[0].domain
 		a.self.Version++
-		a.next = time.Time{}
+		a.hurryAll()
 	}
 }
 
 // Leave returns the heartbeats that say that the agent stops.
-func (a *Announcer) Leave(now time.Time) []Outgoing {
+func (a *Announcer) Leave() []Outgoing {
+	a.out = nil
 	a.self.State, _ = nextState(a.self.State, eventStopped)
 	a.self.Version++
-	return a.heartbeats(now)
+	for _, w := range a.watchers {
+		a.heartbeat(w.control, true)
+	}
+	return a.out
 }
--- a/peer/members.go
+++ b/peer/members.go
@@ -198,15 +198,18 @@
 // domains seem lost. Then this balancer is more likely cut off than the last
 // one alive, and what it thinks of the other domains' agents is not to be
 // trusted.
-func (n *Node) InMinority() bool {
-	total, gone := 0, 0
-	for _, name := range n.members.domains() {
-		total++
-		if len(n.members.balancers[name]) == 0 && n.members.lostBalancer(name) {
+func (n *Node) InMinority() bool { return 2*n.LostDomains() > len(n.members.balancers) }
+
+// LostDomains returns the number of failure domains whose balancers all seem
+// lost.
+func (n *Node) LostDomains() int {
+	gone := 0
+	for name, list := range n.members.balancers {
+		if len(list) == 0 && n.members.lostBalancer(name) {
 			gone++
 		}
 	}
-	return 2*gone > total
+	return gone
 }
 
 // lostBalancer reports whether a balancer of the domain is lost, which one that
--- a/peer/node.go
+++ b/peer/node.go
@@ -196,7 +196,7 @@
 	n.answerLost(from, d)
 	switch body := d.Body.(type) {
 	case *peerpb.Datagram_Heartbeat:
-		n.heartbeat(from, body.Heartbeat, now)
+		n.heartbeat(from, d, body.Heartbeat, now)
 	case *peerpb.Datagram_Rumor:
 		n.rumor(from, body.Rumor)
 	case *peerpb.Datagram_Probe:
@@ -315,6 +315,7 @@
 
 func (n *Node) markAltered(m *bramleyfall.Member) {
 	if m.Role == bramleyfall.RoleBalancer {
+		n.watch.recheck = n.watch.recheck || m.Domain == n.self.Domain
 		return
 	}
 	for _, s := range m.Services {
@@ -340,10 +341,6 @@
 		n.heardOfSelf(m)
 		return
 	}
-	if !live(&m) && n.watch.heardLately(m.ID, n.lastTick, n.config) {
-		n.refute(m)
-		return
-	}
 	n.learn(m)
 }
 
@@ -355,18 +352,6 @@
 	n.learn(n.self)
 }
 
-// refute answers a false record of an agent that this node hears from.
-func (n *Node) refute(m bramleyfall.Member) {
-	known := n.members.records[m.ID]
-	if known == nil || !m.Replaces(known) || m.Boot != known.Boot || !live(known) || m.State == bramleyfall.MemberLeft {
-		n.learn(m)
-		return
-	}
-	next := *known
-	next.Version = m.Version + 1
-	n.learn(next)
-}
-
 // Leave marks the node as leaving and returns the datagrams that say so.
 func (n *Node) Leave() []Outgoing {
 	n.out = nil
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"time"
 
 	"bramleyfall.example/bramleyfall"
@@ -11,15 +12,20 @@
 const (
 	// heartbeatBytes is the size in bytes of a heartbeat with its answer and
 	// the headers of both.
-	heartbeatBytes = 330
-	// maxHeartbeatEvery bounds the time between heartbeats, so that a change
-	// reaches an agent in time even when a message is lost.
-	maxHeartbeatEvery = 2 * time.Second
+	heartbeatBytes = 210
+	// maxHeartbeatEvery bounds the time between heartbeats to the first watcher,
+	// so that a change reaches an agent in time even when a message is lost.
+	maxHeartbeatEvery = 3 * time.Second
+	// standbyFactor is the ratio of the time between heartbeats to the other
+	// watchers to that of the first.
+	standbyFactor = 4
 )
 
 // watchList holds the agents that send this balancer their heartbeats.
 type watchList struct {
 	agents map[bramleyfall.InstanceID]*watched
+	// recheck is set when a balancer of the failure domain was lost.
+	recheck bool
 }
 
 type watched struct {
@@ -27,6 +33,7 @@
 	asked    bool
 	revision bramleyfall.Revision
 	control  bramleyfall.Endpoint
+	watchers uint64
 }
 
 func newWatchList() watchList {
@@ -49,13 +56,8 @@
 	}
 }
 
-func (l *watchList) heardLately(id bramleyfall.InstanceID, now time.Time, c Config) bool {
-	w := l.agents[id]
-	return w != nil && now.Sub(w.heard) <= time.Duration(c.MissedHeartbeats)*maxHeartbeatEvery
-}
-
-// heartbeatEvery returns the time between heartbeats that keeps the cost of
-// all watched agents within the budget.
+// heartbeatEvery returns the time between heartbeats to the first watcher that
+// keeps the cost of all watched agents within the budget.
 func (n *Node) heartbeatEvery() time.Duration {
 	bytes := heartbeatBytes * len(n.watch.agents)
 	every := time.Duration(float64(bytes) / float64(n.config.HeartbeatBudget) * float64(time.Second))
@@ -63,40 +65,64 @@
 }
 
 // heartbeat takes an agent's announcement and answers with what changed.
-func (n *Node) heartbeat(from bramleyfall.Endpoint, h *peerpb.Heartbeat, now time.Time) {
-	m, ok := toMember(h.Member)
-	if !ok || m.Role != bramleyfall.RoleAgent {
+func (n *Node) heartbeat(from bramleyfall.Endpoint, d *peerpb.Datagram, h *peerpb.Heartbeat, now time.Time) {
+	id := bramleyfall.InstanceID(d.Sender)
+	if h.Member != nil {
+		m, ok := toMember(h.Member)
+		if !ok || m.Role != bramleyfall.RoleAgent || m.ID != id {
+			return
+		}
+		n.learn(m)
+	}
+	known := n.members.records[id]
+	if known == nil {
+		// The agent sends its record when it sees that it is not known.
+		n.send(from, &peerpb.Datagram{Body: &peerpb.Datagram_HeartbeatAck{HeartbeatAck: &peerpb.HeartbeatAck{}}})
 		return
 	}
 	revision := bramleyfall.Revision(h.Revision)
-	n.learn(m)
-	if known := n.members.records[m.ID]; known.Boot == m.Boot && m.State != bramleyfall.MemberLeft {
-		n.watch.agents[m.ID] = &watched{heard: now, revision: revision, control: from}
+	if uint64(known.Boot) == d.Boot && known.State != bramleyfall.MemberLeft {
+		n.watch.agents[id] = &watched{heard: now, revision: revision, control: from, watchers: h.WatchersHash}
 	} else {
-		n.watch.forget(m.ID)
+		n.watch.forget(id)
 	}
-	n.send(from, &peerpb.Datagram{Body: &peerpb.Datagram_HeartbeatAck{HeartbeatAck: n.ack(&m, revision)}})
+	n.sendAck(from, known, revision, h.WatchersHash)
 }
 
-func (n *Node) ack(m *bramleyfall.Member, revision bramleyfall.Revision) *peerpb.HeartbeatAck {
-	known := n.members.records[m.ID]
+// sendAck tells an agent what is known of it and what it lacks.
+func (n *Node) sendAck(to bramleyfall.Endpoint, known *bramleyfall.Member, revision bramleyfall.Revision, watchers uint64) {
 	ack := &peerpb.HeartbeatAck{
 		Revision:     uint64(n.state.Revision()),
 		NextMillis:   uint32(n.heartbeatEvery().Milliseconds()),
 		KnownVersion: known.Version,
 		KnownBoot:    uint64(known.Boot),
-		Domain:       string(n.self.Domain),
 	}
-	for _, w := range n.members.watchers(m.ID, m.Domain, n.config.Watchers) {
+	n.addWatchers(ack, known, watchers)
+	if revision < n.state.Revision() || revision < n.state.Newest() {
+		ack.Changes = fromChanges(n.changesFor(known, revision))
+	}
+	n.send(to, &peerpb.Datagram{Body: &peerpb.Datagram_HeartbeatAck{HeartbeatAck: ack}})
+}
+
+// addWatchers adds the watchers, first one first, and the fallbacks of an agent
+// that does not know them.
+func (n *Node) addWatchers(ack *peerpb.HeartbeatAck, m *bramleyfall.Member, knownHash uint64) {
+	watchers := n.members.watchers(m.ID, m.Domain, n.config.Watchers)
+	fallbacks := n.fallbacks(m)
+	hash := uint64(1)
+	for _, w := range append(slices.Clone(watchers), fallbacks...) {
+		hash = w.Key().Score(hash)
+	}
+	if hash == knownHash {
+		return
+	}
+	ack.WatchersHash = hash
+	for _, w := range watchers {
 		ack.Watchers = append(ack.Watchers, &peerpb.Watcher{Domain: string(w.Domain), Control: fromEndpoint(w.Control)})
 	}
-	for _, w := range n.fallbacks(m) {
+	for _, w := range fallbacks {
 		ack.Fallbacks = append(ack.Fallbacks, &peerpb.Watcher{Domain: string(w.Domain), Control: fromEndpoint(w.Control)})
 	}
-	if revision < n.state.Revision() || revision < n.state.Newest() {
-		ack.Changes = fromChanges(n.changesFor(m, revision))
-	}
-	return ack
 }
 
 // fallbacks returns one balancer of each other failure domain.
@@ -136,24 +162,40 @@
 		if m == nil || w.revision >= n.state.Revision() || len(n.changesFor(m, w.revision)) == 0 {
 			continue
 		}
-		n.send(w.control, &peerpb.Datagram{Body: &peerpb.Datagram_HeartbeatAck{HeartbeatAck: n.ack(m, w.revision)}})
+		n.sendAck(w.control, m, w.revision, w.watchers)
 	}
 	return n.out
 }
 
-// watchAgents asks for agents whose heartbeats are missing.
+// watchAgents asks for agents whose heartbeats are missing. Those to watchers
+// other than the first come more seldom. When a balancer was lost, its place as
+// first watcher has passed on: its agents may have died with it.
 func (n *Node) watchAgents(now time.Time) {
 	if n.Isolated(now) {
 		return
 	}
+	recheck := n.watch.recheck
+	n.watch.recheck = false
 	bound := time.Duration(n.config.MissedHeartbeats) * n.heartbeatEvery()
 	for id, w := range n.watch.agents {
 		m := n.members.records[id]
-		if m == nil || !live(m) || !n.watches(m) {
+		if m == nil || !live(m) {
 			n.watch.forget(id)
 			continue
 		}
-		if w.asked || now.Sub(w.heard) <= bound {
+		rank, ok := n.watchRank(m)
+		if !ok {
+			n.watch.forget(id)
+			continue
+		}
+		limit := bound
+		switch {
+		case rank > 0:
+			limit = bound * standbyFactor
+		case recheck:
+			limit = n.heartbeatEvery()
+		}
+		if w.asked || now.Sub(w.heard) <= limit {
 			continue
 		}
 		w.asked = true
@@ -161,12 +203,12 @@
 	}
 }
 
-// watches reports whether this node is among the watchers of an agent.
-func (n *Node) watches(m *bramleyfall.Member) bool {
-	for _, w := range n.members.watchers(m.ID, m.Domain, n.config.Watchers) {
+// watchRank returns this node's place among the watchers of an agent.
+func (n *Node) watchRank(m *bramleyfall.Member) (int, bool) {
+	for i, w := range n.members.watchers(m.ID, m.Domain, n.config.Watchers) {
 		if w.ID == n.self.ID {
-			return true
+			return i, true
 		}
 	}
-	return false
+	return 0, false
 }
--- a/slopes/control.go
+++ b/slopes/control.go
@@ -233,11 +233,16 @@
 		f.Delay = whole
 		costOf(f, time.Second)
 		start := f.Now()
+		var routable time.Duration
 		for f.Now().Sub(start) < 5*time.Minute && !recovered(f, *revision) {
 			f.Run(500 * time.Millisecond)
+			if routable == 0 && !anyDomainLost(f) {
+				routable = f.Now().Sub(start)
+			}
 		}
 		took := f.Now().Sub(start)
 		t.add("Balancer", "InstancesAfterAnHourCut", float64(size), "RecoverySeconds", took.Seconds())
+		t.add("Balancer", "InstancesAfterAnHourCut", float64(size), "RoutableSeconds", routable.Seconds())
 		t.add("Balancer", "InstancesAfterAnHourCut", float64(size), "ControlBytesPerSecond", costOf(f, took).bytes)
 	}
 }
@@ -256,6 +261,17 @@
 	return true
 }
 
+// anyDomainLost reports whether a balancer misses all balancers of a failure
+// domain.
+func anyDomainLost(f *virtual.Fleet) bool {
+	for _, b := range f.Balancers {
+		if b.Node.LostDomains() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // catchUp measures the bytes of a pull from the point where two instances part
 // against those of a whole snapshot.
 func catchUp(t *table) {
