--- /dev/null
+++ b/peer/seal_test.go
@@ -0,0 +1,148 @@
+package peer_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/configuration"
+	"bramleyfall.example/bramleyfall/peer"
+	"bramleyfall.example/bramleyfall/peer/peerpb"
+)
+
+var (
+	oldKey = peer.Key{ID: 1, Secret: []byte("the-old-fleet-key")}
+	newKey = peer.Key{ID: 2, Secret: []byte("the-new-fleet-key")}
+	badKey = peer.Key{ID: 1, Secret: []byte("not-the-fleet-key")}
+)
+
+func TestSealOpensWithAValidKeyOnly(t *testing.T) {
+	tests := []struct {
+		name   string
+		sealer *peer.Keys
+		opener *peer.Keys
+		spoil  bool
+		as     peer.Purpose
+		want   bramleyfall.ResultCode
+	}{
+		{"same key", peer.NewKeys(oldKey), peer.NewKeys(oldKey), false, peer.PurposeDatagram, bramleyfall.OK},
+		{"rotation: sender still old", peer.NewKeys(oldKey), peer.NewKeys(newKey, oldKey), false, peer.PurposeDatagram, bramleyfall.OK},
+		{"rotation: sender new already", peer.NewKeys(newKey, oldKey), peer.NewKeys(oldKey, newKey), false, peer.PurposeDatagram, bramleyfall.OK},
+		{"wrong secret", peer.NewKeys(badKey), peer.NewKeys(oldKey), false, peer.PurposeDatagram, bramleyfall.BadSeal},
+		{"key no longer valid", peer.NewKeys(oldKey), peer.NewKeys(newKey), false, peer.PurposeDatagram, bramleyfall.BadSeal},
+		{"changed on the way", peer.NewKeys(oldKey), peer.NewKeys(oldKey), true, peer.PurposeDatagram, bramleyfall.BadSeal},
+		{"sealed for another purpose", peer.NewKeys(oldKey), peer.NewKeys(oldKey), false, peer.PurposeNotice, bramleyfall.BadSeal},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			sealed := test.sealer.Seal(peer.PurposeDatagram, []byte("body"))
+			if test.spoil {
+				sealed[len(sealed)-1] ^= 1
+			}
+			_, err := test.opener.Open(test.as, sealed)
+			is.Equal(bramleyfall.CodeOf(err), test.want)
+		})
+	}
+}
+
+func TestSealedCallRejectsStrangersAndOldRequests(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	clock := func(at time.Time) bramleyfall.Clock { return bramleyfall.ClockFunc(func() time.Time { return at }) }
+	served := 0
+	next := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		served++
+		_, _ = io.WriteString(w, "answer")
+	})
+	server := httptest.NewServer(peer.NewKeys(oldKey).Handler(next, clock(now), func(error) {}))
+	defer server.Close()
+	tests := []struct {
+		name string
+		keys *peer.Keys
+		at   time.Time
+		ok   bool
+	}{
+		{"fleet key", peer.NewKeys(oldKey), now, true},
+		{"stranger", peer.NewKeys(badKey), now, false},
+		{"replayed an hour later", peer.NewKeys(oldKey), now.Add(-time.Hour), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			before := served
+			response, err := test.keys.Client(clock(test.at), time.Second).Post(server.URL+"/x", "text/plain", strings.NewReader("ask"))
+			is.Equal(err == nil, test.ok)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			is.Equal(served > before, test.ok) // a stranger's request does nothing
+		})
+	}
+}
+
+func newNode() *peer.Node {
+	self := bramleyfall.Member{ID: "balancer-1", Domain: "Ife", Boot: 5, Control: bramleyfall.Endpoint{IP: [4]byte{127, 0, 0, 1}, Port: 7000}}
+	return peer.NewNode(self, configuration.New(), time.Unix(1_800_000_000, 0))
+}
+
+func rumor(boot, sequence uint64, m *peerpb.Member) *peerpb.Datagram {
+	return &peerpb.Datagram{
+		Sender: "balancer-2", Boot: boot, Sequence: sequence, Control: &peerpb.Endpoint{Ip: 0x7f000002, Port: 7000},
+		Body: &peerpb.Datagram_Rumor{Rumor: &peerpb.Rumor{Members: []*peerpb.Member{m}}},
+	}
+}
+
+func TestReplayedMessagesChangeNothing(t *testing.T) {
+	is := is.New(t)
+	n := newNode()
+	now := time.Unix(1_800_000_000, 0)
+	agent := func(version uint64, state uint32) *peerpb.Member {
+		return &peerpb.Member{Id: "railbook-1", Role: 1, Domain: "Ife", Boot: 9, Version: version, State: state, Services: []string{"railbook"}}
+	}
+	old := rumor(7, 1, agent(1, 0))
+	n.Receive(old, now)
+	n.Receive(rumor(7, 100, agent(2, 3)), now) // Left
+	is.Equal(len(n.Serving("railbook")), 0)
+	n.Receive(old, now)                        // far behind in sequence
+	n.Receive(rumor(6, 500, agent(1, 0)), now) // of an earlier boot
+	n.Receive(rumor(7, 101, agent(1, 0)), now) // fresh message with an old record
+	is.Equal(len(n.Serving("railbook")), 0)
+}
+
+// FuzzReceive looks for datagrams that make a node panic. Their seal is good: a
+// fleet member of another version may send anything.
+func FuzzReceive(f *testing.F) {
+	for _, d := range []*peerpb.Datagram{
+		rumor(1, 1, &peerpb.Member{Id: "x", Role: 1}),
+		{Sender: "a", Body: &peerpb.Datagram_Heartbeat{Heartbeat: &peerpb.Heartbeat{}}},
+		{Sender: "a", Body: &peerpb.Datagram_Probe{Probe: &peerpb.Probe{Nonce: 1}}},
+		{Sender: "a", Body: &peerpb.Datagram_StatusAsk{StatusAsk: &peerpb.StatusAsk{}}},
+		{},
+	} {
+		data, err := proto.Marshal(d)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		d := &peerpb.Datagram{}
+		if proto.Unmarshal(data, d) != nil {
+			return
+		}
+		n := newNode()
+		now := time.Unix(1_800_000_000, 0)
+		n.Receive(d, now)
+		n.Tick(now.Add(time.Second))
+		a := peer.NewAnnouncer(bramleyfall.Member{ID: "railbook-1"}, nil, 1)
+		a.Receive(d, now)
+		a.Tick(now.Add(time.Second))
+	})
+}
--- a/standin/etcd/server.go
+++ b/standin/etcd/server.go
@@ -19,6 +19,8 @@
 	// LoseAnswers is the number of transactions whose answer is lost after the
 	// write took effect.
 	LoseAnswers int
+	// OutageAfterLoss starts an outage with the last lost answer.
+	OutageAfterLoss bool
 }
 
 // Server serves a store over HTTP.
@@ -118,6 +120,7 @@
 	defer s.mu.Unlock()
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
+		s.faults.Outage = s.faults.OutageAfterLoss && s.faults.LoseAnswers == 0
 		return nil
 	}
 	return platform.TxnResponse{Header: platform.ResponseHeader{Revision: revision}, Succeeded: ok}
