--- a/caller/adopt.go
+++ b/caller/adopt.go
@@ -121,7 +121,7 @@
 			actions = append(actions, g.settle(&t.kept[i], now))
 		}
 	}
-	return actions
+	return inOrder(actions)
 }
 
 func (g *FlowGate) settle(kept *keptPacket, now time.Time) bramleyfall.Action {
--- a/caller/gate.go
+++ b/caller/gate.go
@@ -5,6 +5,8 @@
 package caller
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -326,18 +328,8 @@
 	g.busy--
 }
 
-// sortedFlows returns the flows in a fixed order, so that a replay makes the
-// same actions.
+// sortedFlows returns the flows in a fixed order, so that a gate does the same
+// each time.
 func (g *FlowGate) sortedFlows() []bramleyfall.Flow {
-	keys := make([]bramleyfall.Flow, 0, len(g.flows))
-	for k := range g.flows {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, func(a, b bramleyfall.Flow) int {
-		if a.Hash() < b.Hash() {
-			return -1
-		}
-		return 1
-	})
-	return keys
+	return slices.SortedFunc(maps.Keys(g.flows), func(a, b bramleyfall.Flow) int { return cmp.Compare(a.Hash(), b.Hash()) })
 }
--- a/caller/sweep.go
+++ b/caller/sweep.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"bramleyfall.example/bramleyfall"
@@ -32,6 +34,12 @@
 			actions = append(actions, a)
 		}
 	}
+	return inOrder(actions)
+}
+
+// inOrder sorts actions by their flows, so that a gate does the same each time.
+func inOrder(actions []bramleyfall.Action) []bramleyfall.Action {
+	slices.SortStableFunc(actions, func(a, b bramleyfall.Action) int { return cmp.Compare(a.Flow.Hash(), b.Flow.Hash()) })
 	return actions
 }
 
--- a/peer/probe.go
+++ b/peer/probe.go
@@ -1,6 +1,9 @@
 package peer
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"bramleyfall.example/bramleyfall"
@@ -83,20 +86,23 @@
 }
 
 func (n *Node) randomLostBalancer() *bramleyfall.Member {
-	var found *bramleyfall.Member
-	count := 0
+	var lost []*bramleyfall.Member
 	for _, m := range n.members.records {
-		if m.Role != bramleyfall.RoleBalancer || m.State != bramleyfall.MemberLost {
-			continue
-		}
-		count++
-		if n.random.IntN(count) == 0 {
-			found = m
+		if m.Role == bramleyfall.RoleBalancer && m.State == bramleyfall.MemberLost {
+			lost = append(lost, m)
 		}
 	}
-	return found
+	if len(lost) == 0 {
+		return nil
+	}
+	slices.SortFunc(lost, compareIDs)
+	return lost[n.random.IntN(len(lost))]
 }
 
+// sortedKeys returns the keys in order, so that a node does the same each time
+// with the same seed.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
 // joinContacts asks the contact points while no other balancer is known.
 func (n *Node) joinContacts() {
 	n.rumors.addMember(n.self.ID)
@@ -149,7 +155,8 @@
 // probeTimeouts asks through other balancers after a silent direct probe, and
 // judges after a silent indirect one.
 func (n *Node) probeTimeouts(now time.Time) {
-	for nonce, p := range n.probes.pending {
+	for _, nonce := range sortedKeys(n.probes.pending) {
+		p := n.probes.pending[nonce]
 		if now.Before(p.due) {
 			continue
 		}
@@ -211,8 +218,8 @@
 
 // judgeSuspects calls suspects lost that stayed silent.
 func (n *Node) judgeSuspects(now time.Time) {
-	for id, due := range n.probes.suspects {
-		if now.Before(due) {
+	for _, id := range sortedKeys(n.probes.suspects) {
+		if now.Before(n.probes.suspects[id]) {
 			continue
 		}
 		delete(n.probes.suspects, id)
--- a/peer/status.go
+++ b/peer/status.go
@@ -68,7 +68,7 @@
 }
 
 func (n *Node) askAgain(nonce uint64, ask *statusAsk) {
-	for id := range ask.waiting {
+	for _, id := range sortedKeys(ask.waiting) {
 		m := n.members.records[id]
 		if m == nil || !live(m) {
 			delete(ask.waiting, id)
@@ -102,7 +102,8 @@
 	if n.state.Revision() < revision {
 		lags(n.self.ID)
 	}
-	for id, w := range n.watch.agents {
+	for _, id := range sortedKeys(n.watch.agents) {
+		w := n.watch.agents[id]
 		m := n.members.records[id]
 		if m == nil || !live(m) {
 			continue
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -157,7 +157,8 @@
 // of the key concerns, so that they need not wait for their next heartbeat.
 func (n *Node) NotifyAgents() []Outgoing {
 	n.out = nil
-	for id, w := range n.watch.agents {
+	for _, id := range sortedKeys(n.watch.agents) {
+		w := n.watch.agents[id]
 		m := n.members.records[id]
 		if m == nil || w.revision >= n.state.Revision() || len(n.changesFor(m, w.revision)) == 0 {
 			continue
@@ -177,7 +178,8 @@
 	recheck := n.watch.recheck
 	n.watch.recheck = false
 	bound := time.Duration(n.config.MissedHeartbeats) * n.heartbeatEvery()
-	for id, w := range n.watch.agents {
+	for _, id := range sortedKeys(n.watch.agents) {
+		w := n.watch.agents[id]
 		m := n.members.records[id]
 		if m == nil || !live(m) {
 			n.watch.forget(id)
