--- a/slopes/control.go
+++ b/slopes/control.go
@@ -321,6 +321,21 @@
 	}
 }
 
+// configurationMemory measures the memory of a balancer's configuration.
+func configurationMemory(t *table) {
+	for _, services := range []int{100, 1000, 7700} {
+		before := heap()
+		state := configuration.New()
+		for n := range services {
+			if _, err := state.Apply(serviceChange(bramleyfall.Revision(n+1), n, epoch)); err != nil {
+				panic(err)
+			}
+		}
+		t.add("Balancer", "Services", float64(services), "ConfigurationBytes", float64(heap()-before))
+		runtime.KeepAlive(state)
+	}
+}
+
 // memberPulls measures the bytes of a pull of membership against its size, where
 // one record differs and where all are asked for.
 func memberPulls(t *table) {
--- a/slopes/main.go
+++ b/slopes/main.go
@@ -24,6 +24,7 @@
 	gates(t)
 	datagrams(t)
 	memberMemory(t)
+	configurationMemory(t)
 	var group sync.WaitGroup
 	for _, part := range []func(*table){
 		func(t *table) { fleetSizes(t, largest) }, heartbeats, losses, regionCut, catchUp, platformLoad,
