Let both regions serve through a cut between them

Cause: a balancer held its forwarding when more than half of the failure domains seemed lost. Now it holds only where it reaches no other failure domain, of at least two.

--- a/balancer/hold.go
+++ b/balancer/hold.go
@@ -32,8 +32,8 @@
 	othersDead bool
 }
 
-// judge holds forwarding while the balancer starts or is cut off from most of
-// the fleet, and logs each change.
+// judge holds forwarding while the balancer starts or is cut off from all other
+// failure domains, and logs each change.
 func (c *controller) judge(now time.Time) {
 	reason := c.holdReason(now)
 	if reason == c.hold.reason {
@@ -49,8 +49,8 @@
 	if age < startHold || !c.node.Joined() && age < joinLimit {
 		return holdStarting
 	}
-	minority := c.node.InMinority() && !c.hold.othersDead
-	if minority || c.node.Isolated(now) && !c.node.Alone() {
+	cutOff := c.node.CutOff() && !c.hold.othersDead
+	if cutOff || c.node.Isolated(now) && !c.node.Alone() {
 		c.hold.lastCut = now
 	}
 	if !c.hold.lastCut.IsZero() && now.Sub(c.hold.lastCut) < cutHold {
--- a/peer/members.go
+++ b/peer/members.go
@@ -221,11 +221,15 @@
 	return false
 }
 
-// InMinority reports whether all balancers of more than half of the failure
-// domains seem lost. Then this balancer is more likely cut off than the last
-// one alive, and what it thinks of the other domains' agents is not to be
-// trusted.
-func (n *Node) InMinority() bool { return 2*n.LostDomains() > len(n.members.balancers) }
+// CutOff reports whether the balancers of all other failure domains seem lost,
+// where there are at least two. Then this domain is more likely cut off than the
+// last one alive, and what this balancer thinks of the others' agents is not to
+// be trusted. A region that still reaches another failure domain serves on.
+func (n *Node) CutOff() bool {
+	const least = 3
+	total := len(n.members.balancers)
+	return total >= least && n.LostDomains() == total-1
+}
 
 // LostDomains returns the number of failure domains whose balancers all seem
 // lost.
