--- a/caller/gate_test.go
+++ b/caller/gate_test.go
@@ -270,3 +270,38 @@
 	is.Equal(len(actions), 1) // answered: given up before the time is over
 	is.Equal(actions[0].Kind, bramleyfall.ActionReset)
 }
+
+func TestWarmUpReachesFullShareInTime(t *testing.T) {
+	const slots = 5
+	tests := []struct {
+		name  string
+		after time.Duration
+		want  int
+	}{
+		{"just started", 0, 1},
+		{"a third", 3 * time.Second, 1},
+		{"more than half", 6 * time.Second, 3},
+		{"nearly there", 9900 * time.Millisecond, 4},
+		{"WarmUp plus 20%", 12 * time.Second, 2 * slots}, // with those that queue
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGate(is, caller.WithCapacity(slots, 2000), caller.WithWarmUp(10*time.Second))
+			g.UpstreamStarted(boot+1, epoch, epoch)
+			now := epoch.Add(test.after)
+			g.Sweep(now)
+			admitted := 0
+			for port := range uint16(50) {
+				p := opening()
+				p.Flow.Source.Port = 1000 + port
+				list := listTo(self)
+				list.Hops[0].Boot = boot + 1
+				if g.FromCaller(p, list, now).Kind == bramleyfall.ActionDeliver {
+					admitted++
+				}
+			}
+			is.Equal(admitted, test.want)
+		})
+	}
+}
--- a/scenario/commands.go
+++ b/scenario/commands.go
@@ -219,14 +219,15 @@
 		result = "fail"
 	}
 	line := fmt.Sprintf("%s Result=%s %s", label, result, v)
+	fmt.Fprintln(os.Stdout, label, "Details", v.details())
 	fmt.Fprintln(os.Stdout, line)
 	if len(faults) > 0 {
-		return fmt.Errorf("%s: %s", line, strings.Join(faults, "; "))
+		return fmt.Errorf("%s %s: %s", line, v.details(), strings.Join(faults, "; "))
 	}
 	return nil
 }
 
-// readWords returns the lines of the files that match the pattern.
+// readLines returns the lines of the files that match the pattern.
 func readLines(pattern string) ([]string, error) {
 	files, err := filepath.Glob(pattern)
 	if err != nil {
--- a/scenario/verdict.go
+++ b/scenario/verdict.go
@@ -14,10 +14,16 @@
 	FeedGapMillis                                 int
 }
 
-// String returns the verdict as key=value pairs.
+// String returns what the verdict is about as key=value pairs.
 func (v verdict) String() string {
-	return fmt.Sprintf("OrdersAnswered=%d OrdersLost=%d OrdersDoubled=%d WrongService=%d FlowsBroken=%d OrdersUnknown=%d FilesFailed=%d FeedGapMillis=%d ColdFailures=%d",
-		v.Answered, v.Lost, v.Doubled, v.WrongService, v.Broken, v.Unknown, v.FilesFailed, v.FeedGapMillis, v.ColdFailures)
+	return fmt.Sprintf("OrdersAnswered=%d OrdersLost=%d OrdersDoubled=%d WrongService=%d FlowsBroken=%d",
+		v.Answered, v.Lost, v.Doubled, v.WrongService, v.Broken)
+}
+
+// details returns the other counts as key=value pairs.
+func (v verdict) details() string {
+	return fmt.Sprintf("OrdersUnknown=%d FilesFailed=%d FeedGapMillis=%d ColdFailures=%d",
+		v.Unknown, v.FilesFailed, v.FeedGapMillis, v.ColdFailures)
 }
 
 // faults returns what is worse than allowed. Limits are Name=most; what is not
@@ -33,7 +39,7 @@
 		most[name] = n
 	}
 	var faults []string
-	for _, pair := range strings.Fields(v.String()) {
+	for _, pair := range strings.Fields(v.String() + " " + v.details()) {
 		name, value, _ := strings.Cut(pair, "=")
 		n, err := strconv.Atoi(value)
 		if err != nil || name == "OrdersAnswered" {
