Mend what stood twice: settings, control sockets, workloads

The flags that all instances have, the socket of sealed datagrams, the services that an upstream may serve and the tables, flows and gates of measurements stood in two programs each; now once (settings, peer, configuration, workload).

--- a/agent/decide.go
+++ b/agent/decide.go
@@ -57,7 +57,6 @@
 	hints     *metrics.Counter
 	received  *metrics.Counter
 	opened    *metrics.Counter
-	sent      *metrics.Counter
 }
 
 func newDecisionCounts(t *telemetry.Telemetry) decisionCounts {
@@ -67,7 +66,6 @@
 		hints:     t.Counter("bramleyfall_owner_hints_total"),
 		received:  t.Counter("bramleyfall_packets_total"),
 		opened:    t.Counter("bramleyfall_flows_opened_total"),
-		sent:      t.Counter("bramleyfall_control_bytes_sent_total"),
 	}
 	for _, kind := range []bramleyfall.ActionKind{
 		bramleyfall.ActionDeliver, bramleyfall.ActionReturn, bramleyfall.ActionPass, bramleyfall.ActionNextPage,
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -12,7 +13,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
-	"google.golang.org/protobuf/proto"
 
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/caller"
@@ -43,7 +43,7 @@
 	telemetry *telemetry.Telemetry
 	tunnel    *geneve.Conn
 	upstream  *geneve.Conn
-	control   *geneve.Conn
+	control   *peer.Socket
 	packets   *ring.Ring[inbound]
 	tasks     *ring.Ring[func()]
 	recorder  *trace.Writer
@@ -85,7 +85,7 @@
 	if s.upstream, err = geneve.Listen(s.config.UpstreamSide); err != nil {
 		return err
 	}
-	if s.control, err = geneve.Listen(s.config.Control); err != nil {
+	if s.control, err = peer.Listen(s.config.Control, s.config.Keys, s.telemetry); err != nil {
 		return err
 	}
 	if s.config.Trace != "" {
@@ -153,7 +153,7 @@
 	}
 	duties.Go(func() { s.runRead(s.tunnel, false) })
 	duties.Go(func() { s.runRead(s.upstream, true) })
-	duties.Go(func() { s.runControl() })
+	duties.Go(func() { s.control.Run(s.controlReceived) })
 	duties.Go(func() { s.runHealth(ctx) })
 	duties.Go(func() { s.runAttached(ctx) })
 	duties.Go(func() { s.decider.run(ctx) })
@@ -169,7 +169,7 @@
 	}
 	s.stopping.Store(true)
 	cancel()
-	for _, c := range []*geneve.Conn{s.tunnel, s.upstream, s.control} {
+	for _, c := range []io.Closer{s.tunnel, s.upstream, s.control} {
 		_ = c.Close()
 	}
 	duties.Wait()
@@ -229,29 +229,9 @@
 	}
 }
 
-// runControl reads control datagrams.
-func (s *server) runControl() {
-	receiver := geneve.NewReceiver()
-	bad := s.telemetry.Counter("bramleyfall_bad_seals_total")
-	for !s.stopping.Load() {
-		n, err := receiver.Read(s.control)
-		if err != nil {
-			continue
-		}
-		for i := range n {
-			d := &peerpb.Datagram{}
-			body, err := s.config.Keys.Open(peer.PurposeDatagram, receiver.Data(i))
-			if err == nil {
-				err = proto.Unmarshal(body, d)
-			}
-			if err != nil {
-				bad.Inc()
-				s.telemetry.Log.Warn().Str("Event", "BadSeal").Str("From", receiver.From(i).String()).Str("Reason", err.Error()).Msg("")
-				continue
-			}
-			s.tasks.Offer(func() { s.decider.control(d) })
-		}
-	}
+// controlReceived hands a datagram to the decision thread.
+func (s *server) controlReceived(d *peerpb.Datagram) {
+	s.tasks.Offer(func() { s.decider.control(d) })
 }
 
 func (s *server) listenHTTP() error {
--- a/agent/state.go
+++ b/agent/state.go
@@ -3,12 +3,8 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/caller"
-	"bramleyfall.example/bramleyfall/configuration"
-	"bramleyfall.example/bramleyfall/peer"
 	"bramleyfall.example/bramleyfall/peer/peerpb"
 )
 
@@ -21,7 +17,7 @@
 		d.all(d.gate.Sweep(now))
 	}
 	d.announce()
-	d.send(d.announcer.Tick(now))
+	d.server.control.Send(d.announcer.Tick(now))
 	d.server.flows.Store(int64(d.gate.Flows()))
 	d.server.busy.Store(int64(d.gate.Busy()))
 }
@@ -48,18 +44,6 @@
 	}
 }
 
-func (d *decider) send(out []peer.Outgoing) {
-	for _, o := range out {
-		body, err := proto.Marshal(o.Datagram)
-		if err != nil {
-			continue
-		}
-		sealed := d.server.config.Keys.Seal(peer.PurposeDatagram, body)
-		d.counts.sent.Add(len(sealed))
-		_ = d.server.control.WriteTo(sealed, o.To)
-	}
-}
-
 // control takes a datagram of a balancer.
 func (d *decider) control(datagram *peerpb.Datagram) {
 	now := d.server.clock.Now()
@@ -69,7 +53,7 @@
 			Str("Reason", "a newer instance announces itself under the same id; this one takes no new flows").Msg("")
 		d.startDrain()
 	}
-	d.send(d.announcer.Receive(datagram, now))
+	d.server.control.Send(d.announcer.Receive(datagram, now))
 	d.configure(now)
 }
 
@@ -80,12 +64,7 @@
 		return
 	}
 	d.applied = state.Newest()
-	var allowed []bramleyfall.Service
-	for _, s := range state.Services() {
-		if configuration.Allows(&s, d.server.config.ID) {
-			allowed = append(allowed, s)
-		}
-	}
+	allowed := state.ServicesOf(d.server.config.ID)
 	d.gate.SetServices(allowed)
 	d.all(d.gate.SetDomain(state.DomainState(d.server.config.Domain), state.LingerUntil(d.server.config.Domain, now), now))
 	d.drainAsAsked(now)
@@ -104,7 +83,7 @@
 	d.drainAsAsked(d.server.clock.Now())
 }
 
-func (d *decider) leave() { d.send(d.announcer.Leave()) }
+func (d *decider) leave() { d.server.control.Send(d.announcer.Leave()) }
 
 // upstreamAnswers takes what the upstream says of itself.
 func (d *decider) upstreamAnswers(h health) {
--- a/balancer/control.go
+++ b/balancer/control.go
@@ -7,12 +7,9 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/configuration"
 	"bramleyfall.example/bramleyfall/fabric"
-	"bramleyfall.example/bramleyfall/geneve"
 	"bramleyfall.example/bramleyfall/operator"
 	"bramleyfall.example/bramleyfall/peer"
 	"bramleyfall.example/bramleyfall/peer/peerpb"
@@ -40,8 +37,7 @@
 	node      *peer.Node
 	table     *upstream.Table
 	builder   *upstream.Builder
-	conn      *geneve.Conn
-	keys      *peer.Keys
+	socket    *peer.Socket
 	clock     bramleyfall.Clock
 	telemetry *telemetry.Telemetry
 	recorder  bramleyfall.Recorder
@@ -73,7 +69,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			c.send(c.node.Leave())
+			c.socket.Send(c.node.Leave())
 			return
 		case task := <-c.tasks.Items():
 			task()
@@ -84,35 +80,13 @@
 	}
 }
 
-// runReceive reads control datagrams until the socket is closed.
-func (c *controller) runReceive(ctx context.Context) {
-	receiver := geneve.NewReceiver()
-	bad := c.telemetry.Counter("bramleyfall_bad_seals_total")
-	received := c.telemetry.Counter("bramleyfall_control_bytes_received_total")
-	for ctx.Err() == nil {
-		n, err := receiver.Read(c.conn)
-		if err != nil {
-			continue
-		}
-		for i := range n {
-			received.Add(len(receiver.Data(i)))
-			d := &peerpb.Datagram{}
-			body, err := c.keys.Open(peer.PurposeDatagram, receiver.Data(i))
-			if err == nil {
-				err = proto.Unmarshal(body, d)
-			}
-			if err != nil {
-				bad.Inc()
-				c.telemetry.Log.Warn().Str("Event", "BadSeal").Str("From", receiver.From(i).String()).Str("Reason", err.Error()).Msg("")
-				continue
-			}
-			c.tasks.Offer(func() { c.receive(d) })
-		}
-	}
+// received hands a datagram to the control thread.
+func (c *controller) received(d *peerpb.Datagram) {
+	c.tasks.Offer(func() { c.receive(d) })
 }
 
 func (c *controller) receive(d *peerpb.Datagram) {
-	c.send(c.node.Receive(d, c.clock.Now()))
+	c.socket.Send(c.node.Receive(d, c.clock.Now()))
 	if state := c.node.State(); state.Revision() >= state.Newest() {
 		c.fresh.HeardNewest()
 	}
@@ -123,11 +97,11 @@
 	if c.fresh.Tick(now) {
 		c.telemetry.Log.Warn().Str("Event", "Paused").Str("Reason", "the process stood still; waiting for the newest configuration").Msg("")
 	}
-	c.send(c.node.Tick(now))
+	c.socket.Send(c.node.Tick(now))
 	c.judge(now)
 	if r := c.node.State().Revision(); r != c.notified {
 		c.notified = r
-		c.send(c.node.NotifyAgents())
+		c.socket.Send(c.node.NotifyAgents())
 	}
 	if now.Sub(c.lastPull) < pullEvery {
 		return
@@ -185,19 +159,6 @@
 	}
 }
 
-func (c *controller) send(out []peer.Outgoing) {
-	sent := c.telemetry.Counter("bramleyfall_control_bytes_sent_total")
-	for _, o := range out {
-		body, err := proto.Marshal(o.Datagram)
-		if err != nil {
-			continue
-		}
-		sealed := c.keys.Seal(peer.PurposeDatagram, body)
-		sent.Add(len(sealed))
-		_ = c.conn.WriteTo(sealed, o.To)
-	}
-}
-
 // sync brings the routing table up to what the node knows.
 func (c *controller) sync() {
 	services, all := c.node.TakeAltered()
@@ -275,120 +236,3 @@
 		}
 	})
 }
-
-// Revision implements platform.Sink.
-func (c *controller) Revision() (bramleyfall.Revision, bramleyfall.ChangeID) {
-	var revision bramleyfall.Revision
-	var id bramleyfall.ChangeID
-	_ = c.do(context.Background(), func() {
-		revision = c.node.State().Revision()
-		if changes, ok := c.node.State().Since(revision - min(revision, 1)); ok && len(changes) > 0 {
-			id = changes[len(changes)-1].ID
-		}
-	})
-	return revision, id
-}
-
-// Changes implements platform.Sink.
-func (c *controller) Changes(changes []bramleyfall.Change, full bool, revision bramleyfall.Revision) {
-	_ = c.do(context.Background(), func() {
-		if full {
-			c.node.ApplyFull(changes, revision)
-			return
-		}
-		for _, change := range changes {
-			c.apply(change, "Platform")
-		}
-	})
-}
-
-func (c *controller) apply(change bramleyfall.Change, source string) {
-	before := c.node.State().Revision()
-	err := c.node.ApplyChange(change)
-	if err != nil {
-		c.telemetry.Log.Error().Str("Event", "BadChange").Str("Change", string(change.ID)).Str("Reason", err.Error()).Msg("")
-		return
-	}
-	if c.node.State().Revision() != before {
-		c.telemetry.Log.Info().Str("Event", "Change").Str("Change", string(change.ID)).Str("Key", change.Key).
-			Uint64("Revision", uint64(change.Revision)).Str("Source", source).Msg("")
-	}
-}
-
-// Health implements platform.Sink.
-func (c *controller) Health(err error) {
-	_ = c.do(context.Background(), func() {
-		if err != nil {
-			c.telemetry.Log.Error().Str("Event", "Platform").Str("Code", bramleyfall.CodeOf(err).String()).Str("Reason", err.Error()).Msg("")
-		} else if c.platform != nil {
-			c.telemetry.Log.Info().Str("Event", "Platform").Str("Code", bramleyfall.OK.String()).Msg("")
-		}
-		c.platform = err
-	})
-}
-
-// View implements operator.Control.
-func (c *controller) View() operator.View {
-	var v operator.View
-	_ = c.do(context.Background(), func() {
-		state := c.node.State()
-		v = operator.View{
-			Revision: state.Revision(), Newest: state.Newest(), Services: state.Services(),
-			Domains: state.Domains(), Members: c.node.Members(),
-			Drained: make(map[bramleyfall.InstanceID]bool), PlatformError: c.platform,
-		}
-		for _, m := range v.Members {
-			if state.Drained(m.ID) {
-				v.Drained[m.ID] = true
-			}
-		}
-	})
-	return v
-}
-
-// Entry implements operator.Control.
-func (c *controller) Entry(flow bramleyfall.Flow) *upstream.Entry { return c.table.Lookup(flow) }
-
-// Route implements operator.Control.
-func (c *controller) Route(flow bramleyfall.Flow, opening bool) (bramleyfall.HopList, bramleyfall.ResultCode) {
-	var list bramleyfall.HopList
-	code := c.table.Route(flow, opening, 0, &list)
-	return list, code
-}
-
-// Find implements operator.Control.
-func (c *controller) Find(id bramleyfall.ChangeID) (bramleyfall.Change, bool) {
-	var change bramleyfall.Change
-	var ok bool
-	_ = c.do(context.Background(), func() { change, ok = c.node.State().Change(id) })
-	return change, ok
-}
-
-// Changed implements operator.Control.
-func (c *controller) Changed(change bramleyfall.Change) {
-	_ = c.do(context.Background(), func() { c.apply(change, "Operator") })
-}
-
-// Spread implements operator.Control. It waits a moment for the answers.
-func (c *controller) Spread(revision bramleyfall.Revision) peer.Spread {
-	const rounds = 4
-	var nonce uint64
-	var spread peer.Spread
-	_ = c.do(context.Background(), func() {
-		var out []peer.Outgoing
-		nonce, out = c.node.Ask(revision, c.clock.Now())
-		c.send(out)
-	})
-	for range rounds {
-		time.Sleep(spreadWait / rounds)
-		_ = c.do(context.Background(), func() {
-			if spread = c.node.Answer(nonce); spread.Lagging > 0 {
-				c.send(c.node.AskAgain(nonce))
-			}
-		})
-		if spread.Lagging == 0 {
-			break
-		}
-	}
-	return spread
-}
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -41,7 +41,7 @@
 	clock      bramleyfall.Clock
 	telemetry  *telemetry.Telemetry
 	packets    *geneve.Conn
-	control    *geneve.Conn
+	control    *peer.Socket
 	platform   *platform.Client
 	forwarder  *fabric.Forwarder
 	controller *controller
@@ -73,7 +73,7 @@
 	if s.packets, err = geneve.Listen(s.config.Packets); err != nil {
 		return err
 	}
-	if s.control, err = geneve.Listen(s.config.Control); err != nil {
+	if s.control, err = peer.Listen(s.config.Control, s.config.Keys, s.telemetry); err != nil {
 		return err
 	}
 	if s.config.Trace != "" {
@@ -101,7 +101,7 @@
 	node.SetContacts(s.config.Peers)
 	fresh := fabric.NewFreshness(now)
 	s.controller = &controller{
-		node: node, table: table, builder: upstream.NewBuilder(now), conn: s.control, keys: s.config.Keys, clock: s.clock,
+		node: node, table: table, builder: upstream.NewBuilder(now), socket: s.control, clock: s.clock,
 		telemetry: s.telemetry, fresh: fresh,
 		tasks: ring.New[func()](queueSize), pulls: ring.New[pull](1),
 		routed: make(map[bramleyfall.ServiceName]bool),
@@ -150,7 +150,7 @@
 		go s.recorder.Run()
 	}
 	duties.Go(func() { s.controller.run(background) })
-	duties.Go(func() { s.controller.runReceive(background) })
+	duties.Go(func() { s.control.Run(s.controller.received) })
 	duties.Go(func() { s.controller.runPull(background) })
 	duties.Go(func() { s.runPlatform(background) })
 	duties.Go(s.forwarder.Run)
--- /dev/null
+++ b/balancer/sink.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+
+	"bramleyfall.example/bramleyfall"
+)
+
+// Revision implements platform.Sink.
+func (c *controller) Revision() (bramleyfall.Revision, bramleyfall.ChangeID) {
+	var revision bramleyfall.Revision
+	var id bramleyfall.ChangeID
+	_ = c.do(context.Background(), func() {
+		revision = c.node.State().Revision()
+		if changes, ok := c.node.State().Since(revision - min(revision, 1)); ok && len(changes) > 0 {
+			id = changes[len(changes)-1].ID
+		}
+	})
+	return revision, id
+}
+
+// Changes implements platform.Sink.
+func (c *controller) Changes(changes []bramleyfall.Change, full bool, revision bramleyfall.Revision) {
+	_ = c.do(context.Background(), func() {
+		if full {
+			c.node.ApplyFull(changes, revision)
+			return
+		}
+		for _, change := range changes {
+			c.apply(change, "Platform")
+		}
+	})
+}
+
+func (c *controller) apply(change bramleyfall.Change, source string) {
+	before := c.node.State().Revision()
+	err := c.node.ApplyChange(change)
+	if err != nil {
+		c.telemetry.Log.Error().Str("Event", "BadChange").Str("Change", string(change.ID)).Str("Reason", err.Error()).Msg("")
+		return
+	}
+	if c.node.State().Revision() != before {
+		c.telemetry.Log.Info().Str("Event", "Change").Str("Change", string(change.ID)).Str("Key", change.Key).
+			Uint64("Revision", uint64(change.Revision)).Str("Source", source).Msg("")
+	}
+}
+
+// Health implements platform.Sink.
+func (c *controller) Health(err error) {
+	_ = c.do(context.Background(), func() {
+		if err != nil {
+			c.telemetry.Log.Error().Str("Event", "Platform").Str("Code", bramleyfall.CodeOf(err).String()).Str("Reason", err.Error()).Msg("")
+		} else if c.platform != nil {
+			c.telemetry.Log.Info().Str("Event", "Platform").Str("Code", bramleyfall.OK.String()).Msg("")
+		}
+		c.platform = err
+	})
+}
--- a/bench/forward.go
+++ b/bench/forward.go
@@ -13,6 +13,7 @@
 	"bramleyfall.example/bramleyfall/geneve"
 	"bramleyfall.example/bramleyfall/telemetry"
 	"bramleyfall.example/bramleyfall/upstream"
+	"bramleyfall.example/bramleyfall/workload"
 )
 
 const (
@@ -81,12 +82,12 @@
 
 func forward(in *geneve.Conn, sink bramleyfall.Endpoint) func() {
 	t := telemetry.New(io.Discard, "bench")
-	table := upstream.NewTable(upstream.WithHints(65536))
-	e := entry(0, 4)
+	table := upstream.NewTable(upstream.WithHints(hints))
+	e := workload.Entry(0, 4)
 	for i := range e.Candidates {
 		e.Candidates[i].Address = sink
 	}
-	table.Set(e, []bramleyfall.ServiceAddress{serviceAddress(0)})
+	table.Set(e, []bramleyfall.ServiceAddress{workload.ServiceAddress(0)})
 	f := fabric.NewForwarder(in, table, t)
 	go f.Run()
 	return func() { _ = f.Close() }
@@ -145,7 +146,7 @@
 	var codec geneve.Codec
 	var packets [flows][]byte
 	for i := range packets {
-		raw, err := geneve.EncodeTCP(geneve.TCPFields{Flow: flow(i, 0), Sequence: 1, Ack: 1, ACK: true, Payload: make([]byte, payload)})
+		raw, err := geneve.EncodeTCP(geneve.TCPFields{Flow: workload.Flow(i, 0), Sequence: 1, Ack: 1, ACK: true, Payload: make([]byte, payload)})
 		if err != nil {
 			return
 		}
--- a/configuration/state.go
+++ b/configuration/state.go
@@ -310,6 +310,11 @@
 	return false
 }
 
+// ServicesOf returns the services that operators let an upstream serve, by name.
+func (s *State) ServicesOf(upstream bramleyfall.InstanceID) []bramleyfall.Service {
+	return slices.DeleteFunc(s.Services(), func(service bramleyfall.Service) bool { return !Allows(&service, upstream) })
+}
+
 // Drained reports whether operators drain the upstream.
 func (s *State) Drained(upstream bramleyfall.InstanceID) bool {
 	return s.drained[bramleyfall.UpstreamID(upstream)]
--- a/measure/server.go
+++ b/measure/server.go
@@ -5,7 +5,6 @@
 
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/caller"
-	"bramleyfall.example/bramleyfall/configuration"
 	"bramleyfall.example/bramleyfall/virtual"
 )
 
@@ -60,13 +59,7 @@
 		return
 	}
 	s.applied = state.Newest()
-	var allowed []bramleyfall.Service
-	for _, x := range state.Services() {
-		if configuration.Allows(&x, s.agent.Member.ID) {
-			allowed = append(allowed, x)
-		}
-	}
-	s.gate.SetServices(allowed)
+	s.gate.SetServices(state.ServicesOf(s.agent.Member.ID))
 	now, domain := s.world.Now(), s.agent.Member.Domain
 	s.act(s.gate.SetDomain(state.DomainState(domain), state.LingerUntil(domain, now), now))
 	s.gate.SetDraining(state.Drained(s.agent.Member.ID), s.world.Now())
--- a/peer/peerpb/peer.twirp.go
+++ b/peer/peerpb/peer.twirp.go
@@ -3,23 +3,36 @@
 
 package peerpb
 
-import context "context"
-import fmt "fmt"
-import http "net/http"
-import io "io"
-import json "encoding/json"
-import strconv "strconv"
-import strings "strings"
-
-import protojson "google.golang.org/protobuf/encoding/protojson"
-import proto "google.golang.org/protobuf/proto"
-import twirp "github.com/twitchtv/twirp"
-import ctxsetters "github.com/twitchtv/twirp/ctxsetters"
-
-import bytes "bytes"
-import errors "errors"
-import path "path"
-import url "net/url"
+import (
+	context "context"
+	fmt "fmt"
+
+	http "net/http"
+
+	io "io"
+
+	json "encoding/json"
+
+	strconv "strconv"
+
+	strings "strings"
+
+	protojson "google.golang.org/protobuf/encoding/protojson"
+
+	proto "google.golang.org/protobuf/proto"
+
+	twirp "github.com/twitchtv/twirp"
+
+	ctxsetters "github.com/twitchtv/twirp/ctxsetters"
+
+	bytes "bytes"
+
+	errors "errors"
+
+	path "path"
+
+	url "net/url"
+)
 
 // Version compatibility assertion.
 // If the constant is not defined in the package, that likely means
--- a/slopes/control.go
+++ b/slopes/control.go
@@ -14,13 +14,11 @@
 	"bramleyfall.example/bramleyfall/peer/peerpb"
 	"bramleyfall.example/bramleyfall/platform"
 	"bramleyfall.example/bramleyfall/virtual"
+	"bramleyfall.example/bramleyfall/workload"
 )
 
 // The aim that the rates are scaled to.
 const (
-	aimBalancers      = 3600
-	aimAgents         = 31000
-	aimDomains        = 7
 	aimChangesADay    = 11000
 	aimReplacedADay   = 10000
 	secondsADay       = 86400
@@ -35,17 +33,15 @@
 	regionDelay = 5 * time.Millisecond
 )
 
-var epoch = time.Unix(1_800_000_000, 0)
-
 // grownFleet returns a fleet of balancers that know each other, as after a long
 // run, with agents that announce themselves.
 func grownFleet(balancers, agents int, seed uint64) *virtual.Fleet {
-	f := virtual.NewFleet(virtual.NewQueue(epoch), seed)
+	f := virtual.NewFleet(virtual.NewQueue(workload.Epoch), seed)
 	f.Timed = true
 	f.Delay = func(_, _ bramleyfall.DomainName) (time.Duration, bool) { return regionDelay, true }
 	members := make([]*bramleyfall.Member, balancers)
 	for i := range members {
-		m := f.NewMember(fmt.Sprintf("balancer-%d", i), bramleyfall.RoleBalancer, virtual.DomainName(i%aimDomains))
+		m := f.NewMember(fmt.Sprintf("balancer-%d", i), bramleyfall.RoleBalancer, virtual.DomainName(i%workload.Domains))
 		members[i] = &m
 	}
 	for _, m := range members {
@@ -58,7 +54,7 @@
 }
 
 func addAgent(f *virtual.Fleet, n, generation int) *virtual.Agent {
-	m := f.NewMember(fmt.Sprintf("service-%d-%d", n/4, n), bramleyfall.RoleAgent, virtual.DomainName(n%aimDomains))
+	m := f.NewMember(fmt.Sprintf("service-%d-%d", n/4, n), bramleyfall.RoleAgent, virtual.DomainName(n%workload.Domains))
 	m.Services = []bramleyfall.ServiceName{bramleyfall.ServiceName(fmt.Sprintf("service-%d", n/4))}
 	b := f.Balancers[(n+generation*7)%len(f.Balancers)]
 	a := f.AddAgent(m, []bramleyfall.Endpoint{b.Member.Control})
@@ -68,7 +64,7 @@
 
 func serviceChange(r bramleyfall.Revision, n int, at time.Time) bramleyfall.Change {
 	value, err := json.Marshal(bramleyfall.Service{
-		Name: bramleyfall.ServiceName(fmt.Sprintf("service-%d", n)), Addresses: []bramleyfall.ServiceAddress{serviceAddress(n)},
+		Name: bramleyfall.ServiceName(fmt.Sprintf("service-%d", n)), Addresses: []bramleyfall.ServiceAddress{workload.ServiceAddress(n)},
 		Allowed: []string{fmt.Sprintf("service-%d-*", n)},
 	})
 	if err != nil {
@@ -88,7 +84,7 @@
 	f.Every(time.Second, secondsADay*time.Second/aimChangesADay, func() bool {
 		*revision++
 		c := serviceChange(*revision, int(*revision)%servicesWithAgents, f.Now())
-		for i := range min(3*aimDomains, len(f.Balancers)) {
+		for i := range min(3*workload.Domains, len(f.Balancers)) {
 			if err := f.Accept(f.Balancers[i], c); err != nil {
 				panic(err)
 			}
@@ -99,7 +95,7 @@
 	n := 0
 	f.Every(time.Second, time.Duration(float64(time.Second)/records), func() bool {
 		n++
-		m := f.NewMember(fmt.Sprintf("replaced-%d", n), bramleyfall.RoleAgent, virtual.DomainName(n%aimDomains))
+		m := f.NewMember(fmt.Sprintf("replaced-%d", n), bramleyfall.RoleAgent, virtual.DomainName(n%workload.Domains))
 		m.Services = []bramleyfall.ServiceName{"service-1"}
 		f.Balancers[n%len(f.Balancers)].Node.Hear(m)
 		return true
@@ -144,7 +140,7 @@
 			continue
 		}
 		f := grownFleet(size, 0, 1)
-		churn(f, float64(size)/aimBalancers)
+		churn(f, float64(size)/workload.Balancers)
 		f.Run(5 * time.Second)
 		costOf(f, time.Second)
 		f.Run(measured)
@@ -162,7 +158,7 @@
 	}
 	start := f.Now()
 	change := serviceChange(revision, 1, start)
-	for i := range min(3*aimDomains, len(f.Balancers)) {
+	for i := range min(3*workload.Domains, len(f.Balancers)) {
 		if err := f.Accept(f.Balancers[i], change); err != nil {
 			panic(err)
 		}
@@ -221,13 +217,13 @@
 func regionCut(t *table) {
 	const east = 4
 	region := make(map[bramleyfall.DomainName]bool)
-	for d := range aimDomains {
+	for d := range workload.Domains {
 		region[virtual.DomainName(d)] = d < east
 	}
 	for _, size := range []int{14, 35, 70} {
 		f := grownFleet(size, 0, 4)
 		f.Timed = false
-		revision := churn(f, float64(size)/aimBalancers)
+		revision := churn(f, float64(size)/workload.Balancers)
 		f.Run(10 * time.Second)
 		whole := f.Delay
 		f.Delay = func(from, to bramleyfall.DomainName) (time.Duration, bool) {
@@ -283,7 +279,7 @@
 	node := f.Balancers[0].Node
 	const services = 7700
 	for r := range bramleyfall.Revision(services) {
-		if err := node.ApplyChange(serviceChange(r+1, int(r), epoch)); err != nil {
+		if err := node.ApplyChange(serviceChange(r+1, int(r), workload.Epoch)); err != nil {
 			panic(err)
 		}
 	}
@@ -298,12 +294,12 @@
 }
 
 // memberCounts are the sizes of memberships that are measured.
-var memberCounts = []int{1000, 10000, aimBalancers + aimAgents}
+var memberCounts = []int{1000, 10000, workload.Balancers + workload.Upstreams}
 
 func manyMembers(f *virtual.Fleet, count int) []*bramleyfall.Member {
 	var known []*bramleyfall.Member
 	for i := range count {
-		m := f.NewMember(fmt.Sprintf("service-%d-%d", i/4, i), bramleyfall.RoleAgent, virtual.DomainName(i%aimDomains))
+		m := f.NewMember(fmt.Sprintf("service-%d-%d", i/4, i), bramleyfall.RoleAgent, virtual.DomainName(i%workload.Domains))
 		m.Services = []bramleyfall.ServiceName{bramleyfall.ServiceName(fmt.Sprintf("service-%d", i/4))}
 		known = append(known, &m)
 	}
@@ -314,9 +310,9 @@
 func memberMemory(t *table) {
 	for _, members := range memberCounts {
 		f := grownFleet(1, 0, 5)
-		before := heap()
+		before := workload.Heap()
 		f.Balancers[0].Node.Know(manyMembers(f, members))
-		t.add("Balancer", "Members", float64(members), "Bytes", float64(heap()-before))
+		t.add("Balancer", "Members", float64(members), "Bytes", float64(workload.Heap()-before))
 		runtime.KeepAlive(f)
 	}
 }
@@ -324,14 +320,14 @@
 // configurationMemory measures the memory of a balancer's configuration.
 func configurationMemory(t *table) {
 	for _, services := range []int{100, 1000, 7700} {
-		before := heap()
+		before := workload.Heap()
 		state := configuration.New()
 		for n := range services {
-			if _, err := state.Apply(serviceChange(bramleyfall.Revision(n+1), n, epoch)); err != nil {
+			if _, err := state.Apply(serviceChange(bramleyfall.Revision(n+1), n, workload.Epoch)); err != nil {
 				panic(err)
 			}
 		}
-		t.add("Balancer", "Services", float64(services), "ConfigurationBytes", float64(heap()-before))
+		t.add("Balancer", "Services", float64(services), "ConfigurationBytes", float64(workload.Heap()-before))
 		runtime.KeepAlive(state)
 	}
 }
@@ -357,15 +353,15 @@
 // the calls that they make.
 func platformLoad(t *table) {
 	for _, size := range []int{3, 30, 300, 3600} {
-		f := virtual.NewFleet(virtual.NewQueue(epoch), 6)
+		f := virtual.NewFleet(virtual.NewQueue(workload.Epoch), 6)
 		members := make([]*bramleyfall.Member, size)
 		for i := range members {
-			m := f.NewMember(fmt.Sprintf("balancer-%d", i), bramleyfall.RoleBalancer, virtual.DomainName(i%aimDomains))
+			m := f.NewMember(fmt.Sprintf("balancer-%d", i), bramleyfall.RoleBalancer, virtual.DomainName(i%workload.Domains))
 			members[i] = &m
 		}
 		readers := 0
 		for _, m := range members {
-			node := peer.NewNode(*m, configuration.New(), epoch)
+			node := peer.NewNode(*m, configuration.New(), workload.Epoch)
 			node.Know(members)
 			if node.IsReader(platform.ReadersPerDomain) {
 				readers++
