Say nothing of an upstream before the agent knows it

A replaced agent's first heartbeat could leave before its first look at the upstream: a record without boot id, which took the upstream out of the tables until the next record, 50 to 250 ms, or with 20% loss of rumors for seconds; packets of its flows were reset as nobody's. Now an agent is silent until it knows its upstream, for 2 s at most.

Slopes against the rates of change; the stand-in upstream limits connections and knows deadlines, cancellation and a load endpoint that lags.

--- a/peer/announcer.go
+++ b/peer/announcer.go
@@ -14,6 +14,10 @@
 	// firstHeartbeatEvery is the time between heartbeats until a balancer
 	// answers.
 	firstHeartbeatEvery = 500 * time.Millisecond
+	// upstreamWait is the longest time for which a started agent says nothing
+	// because it does not know its upstream yet: a record without a boot id would
+	// take the upstream of an agent that was replaced out of the tables.
+	upstreamWait = 2 * time.Second
 	// silentHeartbeats is the number of unanswered heartbeats after which an
 	// agent looks for other watchers.
 	silentHeartbeats = 3
@@ -36,8 +40,10 @@
 	sequence     uint64
 	flows        int
 	busy         int
-	random       *rand.Rand
-	out          []Outgoing
+	// started is the time of the first tick.
+	started time.Time
+	random  *rand.Rand
+	out     []Outgoing
 }
 
 // watcher is a balancer that watches the agent.
@@ -114,6 +120,12 @@
 // Tick returns the heartbeats that are due at now.
 func (a *Announcer) Tick(now time.Time) []Outgoing {
 	a.out = nil
+	if a.started.IsZero() {
+		a.started = now
+	}
+	if a.self.UpstreamBoot == 0 && now.Sub(a.started) < upstreamWait {
+		return nil
+	}
 	answered := false
 	for i := range a.watchers {
 		w := &a.watchers[i]
--- a/peer/config.go
+++ b/peer/config.go
@@ -32,6 +32,8 @@
 	// OrphanGrace is the time for which the agents of a failure domain without
 	// balancers are still routed to, while they look for other watchers.
 	OrphanGrace time.Duration
+	// KeepDeparted is the time for which lost and left instances are remembered.
+	KeepDeparted time.Duration
 	// PauseAfter is the time without a tick after which the process is taken
 	// to have been paused.
 	PauseAfter time.Duration
@@ -54,6 +56,7 @@
 		Copies:           6,
 		Watchers:         3,
 		OrphanGrace:      4 * time.Second,
+		KeepDeparted:     2 * time.Hour,
 		PauseAfter:       2 * time.Second,
 	}
 }
--- a/peer/members.go
+++ b/peer/members.go
@@ -19,8 +19,10 @@
 	// those that have been without one for long.
 	emptySince map[bramleyfall.DomainName]time.Time
 	orphaned   map[bramleyfall.DomainName]bool
-	// digests are the xors of the hashes of the records in each bucket.
+	// digests are the xors of the hashes of the live records in each bucket.
 	digests [digestBuckets]uint64
+	// departed holds since when instances are lost or have left.
+	departed map[bramleyfall.InstanceID]time.Time
 }
 
 // digestBuckets is the number of parts in which memberships are compared.
@@ -58,6 +60,7 @@
 
 		emptySince: make(map[bramleyfall.DomainName]time.Time),
 		orphaned:   make(map[bramleyfall.DomainName]bool),
+		departed:   make(map[bramleyfall.InstanceID]time.Time),
 	}
 }
 
@@ -66,10 +69,11 @@
 	return m.State != bramleyfall.MemberLost && m.State != bramleyfall.MemberLeft
 }
 
-// merge takes a record if it is newer and reports whether it was.
+// merge takes a record if it is newer and reports whether it was. An instance
+// that is not known and has departed is no news.
 func (s *memberSet) merge(m bramleyfall.Member) bool {
 	old := s.records[m.ID]
-	if old != nil && !m.Replaces(old) {
+	if old != nil && !m.Replaces(old) || old == nil && !live(&m) {
 		return false
 	}
 	if old != nil {
@@ -81,7 +85,9 @@
 
 func (s *memberSet) add(m *bramleyfall.Member) {
 	s.records[m.ID] = m
-	s.digests[bucketOf(m)] ^= recordHash(m)
+	if live(m) {
+		s.digests[bucketOf(m)] ^= recordHash(m)
+	}
 	if m.Role == bramleyfall.RoleBalancer {
 		if live(m) {
 			list := s.balancers[m.Domain]
@@ -100,7 +106,9 @@
 
 func (s *memberSet) remove(m *bramleyfall.Member) {
 	delete(s.records, m.ID)
-	s.digests[bucketOf(m)] ^= recordHash(m)
+	if live(m) {
+		s.digests[bucketOf(m)] ^= recordHash(m)
+	}
 	if m.Role == bramleyfall.RoleBalancer {
 		list := s.balancers[m.Domain]
 		if i, ok := slices.BinarySearchFunc(list, m, compareIDs); ok {
@@ -189,6 +197,24 @@
 	return topBalancers(s.liveBalancers(), key, n)
 }
 
+// forget drops the records of instances that departed longer ago than keep.
+// Others that still hold them do not bring them back.
+func (s *memberSet) forget(now time.Time, keep time.Duration) {
+	for id, m := range s.records {
+		if live(m) {
+			delete(s.departed, id)
+			continue
+		}
+		if s.departed[id].IsZero() {
+			s.departed[id] = now
+		}
+		if now.Sub(s.departed[id]) > keep {
+			s.remove(m)
+			delete(s.departed, id)
+		}
+	}
+}
+
 // reachable reports whether the agent's watchers can be alive: the failure
 // domain whose balancers watch it has one, or lost its last one so lately that
 // the agent may not have found others.
--- a/peer/node.go
+++ b/peer/node.go
@@ -50,7 +50,10 @@
 	out       []Outgoing
 }
 
-type dueTimes struct{ gossip, probe, digest time.Time }
+type dueTimes struct{ gossip, probe, digest, forget time.Time }
+
+// forgetEvery is the time between two looks for what can be forgotten.
+const forgetEvery = time.Minute
 
 // NewNode returns the node of a balancer. Self needs id, boot, domain and both
 // addresses.
@@ -195,6 +198,9 @@
 	if due(&n.nextDue.digest, n.config.DigestEvery, now) {
 		n.sendDigest()
 	}
+	if due(&n.nextDue.forget, forgetEvery, now) {
+		n.forget(now)
+	}
 	return n.out
 }
 
@@ -218,6 +224,16 @@
 	return true
 }
 
+// forget drops what is known of instances that departed long ago.
+func (n *Node) forget(now time.Time) {
+	n.members.forget(now, n.config.KeepDeparted)
+	for sender := range n.sequences {
+		if n.members.records[bramleyfall.InstanceID(sender)] == nil {
+			delete(n.sequences, sender)
+		}
+	}
+}
+
 // paused forgets all timers after the process stood still, so that the time
 // of the pause is not held against others.
 func (n *Node) paused(now time.Time) {
--- a/peer/rumor.go
+++ b/peer/rumor.go
@@ -58,7 +58,12 @@
 		}
 	}
 	for _, id := range q.memberOrder() {
-		p := fromMember(records[id])
+		m := records[id]
+		if m == nil {
+			delete(q.members, id)
+			continue
+		}
+		p := fromMember(m)
 		if size += proto.Size(p); size > maxRumorBytes && (len(rumor.Members) > 0 || len(rumor.Changes) > 0) {
 			return rumor
 		}
--- a/peer/seal_test.go
+++ b/peer/seal_test.go
@@ -146,3 +146,27 @@
 		a.Tick(now.Add(time.Second))
 	})
 }
+
+func TestAgentSaysNothingBeforeItKnowsItsUpstream(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	tests := []struct {
+		name  string
+		boot  bramleyfall.BootID
+		after time.Duration
+		sends bool
+	}{
+		{"upstream unknown", 0, 100 * time.Millisecond, false},
+		{"upstream known", 7, 100 * time.Millisecond, true},
+		{"upstream absent for long", 0, 3 * time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			seeds := []bramleyfall.Endpoint{{IP: [4]byte{127, 0, 0, 2}, Port: 7000}}
+			a := peer.NewAnnouncer(bramleyfall.Member{ID: "railbook-1"}, seeds, 1)
+			is.Equal(len(a.Tick(now)), 0)
+			a.Announce(test.boot != 0, test.boot)
+			is.Equal(len(a.Tick(now.Add(test.after))) > 0, test.sends)
+		})
+	}
+}
--- a/slopes/control.go
+++ b/slopes/control.go
@@ -76,33 +76,68 @@
 	}
 }
 
-// churn lets changes be accepted and instances be replaced at the rates of the
-// aim, the latter scaled to the fleet. Replacements show as records at random
-// balancers, as their watchers would learn of them.
-func churn(f *virtual.Fleet, scale float64) *bramleyfall.Revision {
+// rates are how often configuration and membership change.
+type rates struct {
+	changesADay      float64
+	recordsPerSecond float64
+}
+
+// aimRates are the rates of the aim for a fleet of the given size.
+func aimRates(balancers int) rates {
+	scale := float64(balancers) / workload.Balancers
+	return rates{changesADay: aimChangesADay, recordsPerSecond: aimReplacedADay * recordsAReplacing * scale / secondsADay}
+}
+
+// churn lets changes be accepted and instances be replaced. Replacements show
+// as records at random balancers, as their watchers would learn of them. It
+// returns the newest revision.
+func churn(f *virtual.Fleet, r rates) *bramleyfall.Revision {
 	revision := new(bramleyfall.Revision)
-	f.Every(time.Second, secondsADay*time.Second/aimChangesADay, func() bool {
-		*revision++
-		c := serviceChange(*revision, int(*revision)%servicesWithAgents, f.Now())
-		for i := range min(3*workload.Domains, len(f.Balancers)) {
-			if err := f.Accept(f.Balancers[i], c); err != nil {
-				panic(err)
+	if r.changesADay > 0 {
+		f.Every(time.Second, time.Duration(float64(secondsADay*time.Second)/r.changesADay), func() bool {
+			*revision++
+			c := serviceChange(*revision, int(*revision)%servicesWithAgents, f.Now())
+			for i := range min(3*workload.Domains, len(f.Balancers)) {
+				if err := f.Accept(f.Balancers[i], c); err != nil {
+					panic(err)
+				}
 			}
-		}
-		return true
-	})
-	records := float64(aimReplacedADay*recordsAReplacing) / secondsADay * scale
-	n := 0
-	f.Every(time.Second, time.Duration(float64(time.Second)/records), func() bool {
-		n++
-		m := f.NewMember(fmt.Sprintf("replaced-%d", n), bramleyfall.RoleAgent, virtual.DomainName(n%workload.Domains))
-		m.Services = []bramleyfall.ServiceName{"service-1"}
-		f.Balancers[n%len(f.Balancers)].Node.Hear(m)
-		return true
-	})
+			return true
+		})
+	}
+	if r.recordsPerSecond > 0 {
+		n := 0
+		f.Every(time.Second, time.Duration(float64(time.Second)/r.recordsPerSecond), func() bool {
+			n++
+			m := f.NewMember(fmt.Sprintf("replaced-%d", n), bramleyfall.RoleAgent, virtual.DomainName(n%workload.Domains))
+			m.Services = []bramleyfall.ServiceName{"service-1"}
+			f.Balancers[n%len(f.Balancers)].Node.Hear(m)
+			return true
+		})
+	}
 	return revision
 }
 
+// churnRates measures what balancers spend against how often configuration and
+// membership change.
+func churnRates(t *table) {
+	const balancers, measured = 100, 60 * time.Second
+	measure := func(against string, x float64, r rates) {
+		f := grownFleet(balancers, 0, 7)
+		churn(f, r)
+		f.Run(5 * time.Second)
+		costOf(f, time.Second)
+		f.Run(measured)
+		t.addCost("Balancer", against, x, costOf(f, measured))
+	}
+	for _, changes := range []float64{1000, 11000, 44000, 110000} {
+		measure("ConfigurationChangesADay", changes, rates{changesADay: changes})
+	}
+	for _, records := range []float64{0.1, 0.35, 1, 3} {
+		measure("MembershipChangesPerSecond", records, rates{recordsPerSecond: records})
+	}
+}
+
 // cost is what a balancer spends for control a second.
 type cost struct {
 	bytes, messages, core float64
@@ -140,7 +175,7 @@
 			continue
 		}
 		f := grownFleet(size, 0, 1)
-		churn(f, float64(size)/workload.Balancers)
+		churn(f, aimRates(size))
 		f.Run(5 * time.Second)
 		costOf(f, time.Second)
 		f.Run(measured)
@@ -223,7 +258,7 @@
 	for _, size := range []int{14, 35, 70} {
 		f := grownFleet(size, 0, 4)
 		f.Timed = false
-		revision := churn(f, float64(size)/workload.Balancers)
+		revision := churn(f, aimRates(size))
 		f.Run(10 * time.Second)
 		whole := f.Delay
 		f.Delay = func(from, to bramleyfall.DomainName) (time.Duration, bool) {
--- a/slopes/data.go
+++ b/slopes/data.go
@@ -24,12 +24,32 @@
 		ns, _ := routeCost(1, size, 1)
 		t.add("Balancer", "UpstreamsOfAService", float64(size), "Nanoseconds", ns)
 	}
+	for _, rebuilds := range []int{0, 1, 10, 100} {
+		t.add("Balancer", "RebuildsPer1000Packets", float64(rebuilds), "Nanoseconds", rebuildCost(rebuilds))
+	}
 	for _, hints := range []int{1024, 16384, 65536, 1048576} {
 		_, bytes := routeCost(1, each, hints)
 		t.add("Balancer", "Hints", float64(hints), "Bytes", bytes)
 	}
 }
 
+// rebuildCost measures the decision while entries are replaced.
+func rebuildCost(rebuilds int) float64 {
+	const services, upstreams, packets = 1000, 4000, 1000
+	t := workload.Table(services, upstreams, 1)
+	r := testing.Benchmark(func(b *testing.B) {
+		var list bramleyfall.HopList
+		for i := range b.N {
+			if i%packets < rebuilds {
+				n := i % services
+				t.Set(workload.Entry(n, upstreams/services), []bramleyfall.ServiceAddress{workload.ServiceAddress(n)})
+			}
+			t.Route(workload.Flow(i%packets, i*7%services), false, 0, &list)
+		}
+	})
+	return float64(r.NsPerOp())
+}
+
 func routeCost(services, upstreams, hints int) (nanoseconds, bytes float64) {
 	before := workload.Heap()
 	table := workload.Table(services, upstreams, hints)
--- a/slopes/main.go
+++ b/slopes/main.go
@@ -27,7 +27,7 @@
 	configurationMemory(t)
 	var group sync.WaitGroup
 	for _, part := range []func(*table){
-		func(t *table) { fleetSizes(t, largest) }, heartbeats, losses, regionCut, catchUp, platformLoad,
+		func(t *table) { fleetSizes(t, largest) }, heartbeats, churnRates, losses, regionCut, catchUp, platformLoad,
 	} {
 		group.Go(func() { part(t) })
 	}
--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -212,14 +212,14 @@
 	id := fmt.Sprintf("%s-%d", c.config.Name, c.order.Add(1))
 	c.Counts.OrdersSent.Add(1)
 	for {
-		line, err := c.ask(conn, lines, fmt.Sprintf("ORDER %s %s\n", id, c.config.Orders.Service))
+		line, err := c.ask(conn, lines, fmt.Sprintf("ORDER %s %s %d\n", id, c.config.Orders.Service, c.config.Deadline.Milliseconds()))
 		if err != nil {
 			c.Counts.OrdersUnknown.Add(1)
 			c.broken(conn, err)
 			return false
 		}
 		switch line {
-		case "SHED " + id, "FAILED " + id:
+		case "SHED " + id, "FAILED " + id, "EXPIRED " + id, "CANCELLED " + id:
 			c.Counts.Shed.Add(1)
 			pause(ctx, c.config.Pause)
 			continue
--- a/standin/tcp/stack.go
+++ b/standin/tcp/stack.go
@@ -183,10 +183,9 @@
 	}
 }
 
-// Count returns the number of connections that are open.
-func (s *Stack) Count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// CountLocked returns the number of connections that are open, for the admit
+// function of WithListener.
+func (s *Stack) CountLocked() int {
 	n := 0
 	for _, c := range s.conns {
 		if c.state == established {
--- a/standin/upstreams/upstream.go
+++ b/standin/upstreams/upstream.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -63,7 +64,9 @@
 	boot     time.Time
 	draining bool
 	running  int
-	counts   Counts
+	// shown is the load that the load endpoint shows next.
+	shown  int
+	counts Counts
 }
 
 // New opens the socket and the ledger of an upstream.
@@ -89,7 +92,8 @@
 	}
 }
 
-func (u *Upstream) admit(bramleyfall.Flow) bool { return true }
+// admit resets openings beyond the connections that the upstream holds.
+func (u *Upstream) admit(bramleyfall.Flow) bool { return u.stack.CountLocked() < u.config.Connections }
 
 // Run serves until ctx ends.
 func (u *Upstream) Run(ctx context.Context) {
@@ -116,9 +120,13 @@
 	}
 }
 
-// serve answers the requests of one connection: lines of words.
+// serve answers the requests of one connection: lines of words. An order may
+// name a deadline in milliseconds and may be cancelled while it waits or runs.
 func (u *Upstream) serve(c *tcp.Conn) {
 	defer func() { _ = c.Close() }()
+	var orders sync.WaitGroup
+	defer orders.Wait()
+	cancelled := &cancellations{}
 	lines := bufio.NewScanner(c)
 	for lines.Scan() {
 		words := strings.Fields(lines.Text())
@@ -130,7 +138,10 @@
 		}
 		switch words[0] {
 		case "ORDER":
-			u.order(c, words[1])
+			deadline := deadlineOf(words)
+			orders.Go(func() { u.order(c, words[1], deadline, cancelled) })
+		case "CANCEL":
+			cancelled.add(words[1])
 		case "FEED":
 			u.feed(c)
 			return
@@ -187,12 +198,55 @@
 	u.running--
 }
 
-func (u *Upstream) order(c *tcp.Conn, id string) {
-	if refusal := u.enter(); refusal != "" {
+// cancellations are the orders of a connection that were cancelled.
+type cancellations struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+func (c *cancellations) add(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ids == nil {
+		c.ids = make(map[string]bool)
+	}
+	c.ids[id] = true
+}
+
+func (c *cancellations) has(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ids[id]
+}
+
+// deadlineOf returns the time until which an order may start to run.
+func deadlineOf(words []string) time.Time {
+	const far = time.Hour
+	if len(words) > 3 {
+		if n, err := strconv.Atoi(words[3]); err == nil {
+			return time.Now().Add(time.Duration(n) * time.Millisecond)
+		}
+	}
+	return time.Now().Add(far)
+}
+
+// order runs an order, unless it was cancelled or its deadline passed before it
+// could start: then it is answered at once as not run.
+func (u *Upstream) order(c *tcp.Conn, id string, deadline time.Time, cancelled *cancellations) {
+	refusal := u.enter()
+	if refusal != "" {
 		_, _ = fmt.Fprintf(c, "%s %s\n", refusal, id)
 		return
 	}
 	defer u.leave()
+	switch {
+	case cancelled.has(id):
+		_, _ = fmt.Fprintf(c, "CANCELLED %s\n", id)
+		return
+	case time.Now().After(deadline):
+		_, _ = fmt.Fprintf(c, "EXPIRED %s\n", id)
+		return
+	}
 	u.write("RUN", id)
 	time.Sleep(u.config.Work)
 	u.mu.Lock()
@@ -241,12 +295,19 @@
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) {
 		u.mu.Lock()
 		defer u.mu.Unlock()
+		// It says that it is ready however cold it is.
 		_ = json.NewEncoder(w).Encode(struct {
 			Boot     int64
 			Draining bool
 			Ready    bool
-			Load     float64
-		}{u.boot.UnixNano(), u.draining, true, 0})
+		}{u.boot.UnixNano(), u.draining, true})
+	})
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		// It lags: it shows the load of the last time that it was asked.
+		_ = json.NewEncoder(w).Encode(struct{ Running int }{u.shown})
+		u.shown = u.running
 	})
 	mux.HandleFunc("GET /standin/counts", func(w http.ResponseWriter, _ *http.Request) {
 		u.mu.Lock()
--- a/virtual/fleet_test.go
+++ b/virtual/fleet_test.go
@@ -207,3 +207,22 @@
 		}
 	}
 }
+
+// TestDepartedInstancesAreForgotten lets agents leave and die, and looks again
+// after more than two hours: the fleet does not grow with all that ever ran.
+func TestDepartedInstancesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 2)
+	f.Agents[0].Up = false
+	f.Agents[3].Up = false
+	f.Run(30 * time.Second)
+	for _, b := range f.Balancers {
+		is.Equal(serving(b), 4)
+		is.Equal(len(b.Node.Members()), 3+6) // operators can still see them
+	}
+	f.Run(2*time.Hour + 5*time.Minute)
+	for _, b := range f.Balancers {
+		is.Equal(serving(b), 4)
+		is.Equal(len(b.Node.Members()), 3+4)
+	}
+}
