Let an upstream without flows take one before it knows its peers' loads

Without knowledge of its peers' loads it asked by passing the opening on; others took it, and nothing came back. Openings that reached it later in a list would have told it; with three peers below their share none did. Ruled out: tables (four upstreams, all open), warm-up (Serving). Before: no flow in 10 s.

--- a/caller/gate_test.go
+++ b/caller/gate_test.go
@@ -305,3 +305,12 @@
 		})
 	}
 }
+
+func TestUpstreamWithoutFlowsTakesOneWithoutKnowingItsPeers(t *testing.T) {
+	is := is.New(t)
+	g := newGate(is, caller.WithShareFactor(1.05))
+	is.Equal(g.FromCaller(opening(), listTo(self, other), epoch).Kind, bramleyfall.ActionDeliver)
+	p := opening()
+	p.Flow.Source.Port++
+	is.Equal(g.FromCaller(p, listTo(self, other), epoch).Kind, bramleyfall.ActionPass) // asks for its peers' loads
+}
--- a/caller/opening.go
+++ b/caller/opening.go
@@ -72,11 +72,12 @@
 	return load + 1
 }
 
-// withinShare reports whether the upstream has no more than its share. At the
+// withinShare reports whether the upstream has no more than its share. One
+// without flows always takes one, or it would never learn of its peers. At the
 // last hop the loads of all hops are known and the least loaded takes the
 // opening.
 func (g *FlowGate) withinShare(list *bramleyfall.HopList, now time.Time) bool {
-	if g.config.ShareFactor == 0 || list.Count == 1 {
+	if g.config.ShareFactor == 0 || list.Count == 1 || g.live == 0 {
 		return true
 	}
 	own := g.load()
