--- a/hash.go
+++ b/hash.go
@@ -26,8 +26,11 @@
 // Score returns the rendezvous score of key for a hash. The key with the
 // greatest score comes first.
 func (k InstanceKey) Score(hash uint64) uint64 {
-	var b [16]byte
-	binary.BigEndian.PutUint64(b[0:8], uint64(k))
-	binary.BigEndian.PutUint64(b[8:16], hash)
-	return xxhash.Sum64(b[:])
+	x := hash ^ uint64(k)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
 }
