Name the etcd client after its protocol

Cause: platform/ is to hold what speaks to the users' platform, whose store has a protocol of its own. The package that speaks the JSON form of etcd v3 is named etcd from now on. No behaviour changes. Before and after: go test ./standin/etcd passes.

--- a/balancer/platform.go
+++ b/balancer/platform.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"bramleyfall.example/bramleyfall"
-	"bramleyfall.example/bramleyfall/platform"
+	"bramleyfall.example/bramleyfall/etcd"
 )
 
 const (
@@ -17,8 +17,8 @@
 // runPlatform reads the platform while this balancer is one of the readers of
 // its failure domain, and keeps its contact point there under a lease.
 func (s *server) runPlatform(ctx context.Context) {
-	contact := platform.Contact{ID: s.config.ID, Domain: s.config.Domain, Control: s.config.AdvertiseControl}
-	lease := platform.NewLease(s.platform, s.clock, s.config.Domain, contact)
+	contact := etcd.Contact{ID: s.config.ID, Domain: s.config.Domain, Control: s.config.AdvertiseControl}
+	lease := etcd.NewLease(s.platform, s.clock, s.config.Domain, contact)
 	var cancel context.CancelFunc
 	var renewed time.Time
 	for ctx.Err() == nil {
@@ -28,14 +28,14 @@
 		case reads && cancel == nil:
 			var readContext context.Context
 			readContext, cancel = context.WithCancel(ctx)
-			go platform.NewReader(s.platform, s.controller).Run(readContext)
+			go etcd.NewReader(s.platform, s.controller).Run(readContext)
 			s.telemetry.Log.Info().Str("Event", "Reader").Str("Reason", "among the first of the failure domain").Msg("")
 		case !reads && cancel != nil:
 			cancel()
 			cancel = nil
 			s.release(lease)
 		}
-		if reads && s.clock.Now().Sub(renewed) > platform.ContactTTL/3 {
+		if reads && s.clock.Now().Sub(renewed) > etcd.ContactTTL/3 {
 			renewed = s.clock.Now()
 			s.joinDue = true
 			s.renew(ctx, lease)
@@ -57,7 +57,7 @@
 		return
 	}
 	s.joinDue = false
-	contacts, err := platform.Contacts(ctx, s.platform)
+	contacts, err := etcd.Contacts(ctx, s.platform)
 	if err != nil {
 		s.telemetry.Log.Warn().Str("Event", "NoContacts").Str("Reason", err.Error()).Msg("")
 		_ = s.controller.do(ctx, func() { s.controller.hold.othersDead = false })
@@ -81,11 +81,11 @@
 
 func (s *server) isReader() bool {
 	reads := false
-	_ = s.controller.do(context.Background(), func() { reads = s.controller.node.IsReader(platform.ReadersPerDomain) })
+	_ = s.controller.do(context.Background(), func() { reads = s.controller.node.IsReader(etcd.ReadersPerDomain) })
 	return reads
 }
 
-func (s *server) renew(ctx context.Context, lease *platform.Lease) {
+func (s *server) renew(ctx context.Context, lease *etcd.Lease) {
 	held := lease.Held()
 	if err := lease.Renew(ctx); err != nil {
 		s.telemetry.Log.Warn().Str("Event", "LeaseFailed").Str("Code", bramleyfall.CodeOf(err).String()).Str("Reason", err.Error()).Msg("")
@@ -96,7 +96,7 @@
 	}
 }
 
-func (s *server) release(lease *platform.Lease) {
+func (s *server) release(lease *etcd.Lease) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if err := lease.Release(ctx); err != nil {
--- a/balancer/serve.go
+++ b/balancer/serve.go
@@ -20,7 +20,7 @@
 	"bramleyfall.example/bramleyfall/operator/operatorpb"
 	"bramleyfall.example/bramleyfall/peer"
 	"bramleyfall.example/bramleyfall/peer/peerpb"
-	"bramleyfall.example/bramleyfall/platform"
+	"bramleyfall.example/bramleyfall/etcd"
 	"bramleyfall.example/bramleyfall/ring"
 	"bramleyfall.example/bramleyfall/telemetry"
 	"bramleyfall.example/bramleyfall/trace"
@@ -44,7 +44,7 @@
 	telemetry  *telemetry.Telemetry
 	packets    *geneve.Conn
 	control    *peer.Socket
-	platform   *platform.Client
+	platform   *etcd.Client
 	forwarder  *fabric.Forwarder
 	controller *controller
 	recorder   *trace.Writer
@@ -86,7 +86,7 @@
 		s.recorder = trace.NewWriter(file)
 	}
 	calls := s.telemetry.Counter("bramleyfall_platform_calls_total")
-	s.platform = platform.New(s.config.Platform, platform.WithCallCount(func(string) { calls.Inc() }))
+	s.platform = etcd.New(s.config.Platform, etcd.WithCallCount(func(string) { calls.Inc() }))
 	s.build()
 	return nil
 }
@@ -185,7 +185,7 @@
 // listenHTTP serves operators and peers on the control address, metrics and
 // readiness on the HTTP address.
 func (s *server) listenHTTP() error {
-	service, err := operator.NewService(s.controller, platform.NewWriter(s.platform, s.clock))
+	service, err := operator.NewService(s.controller, etcd.NewWriter(s.platform, s.clock))
 	if err != nil {
 		return err
 	}
--- a/balancer/sink.go
+++ b/balancer/sink.go
@@ -6,7 +6,7 @@
 	"bramleyfall.example/bramleyfall"
 )
 
-// Revision implements platform.Sink.
+// Revision implements etcd.Sink.
 func (c *controller) Revision() (bramleyfall.Revision, bramleyfall.ChangeID) {
 	var revision bramleyfall.Revision
 	var id bramleyfall.ChangeID
@@ -19,7 +19,7 @@
 	return revision, id
 }
 
-// Changes implements platform.Sink.
+// Changes implements etcd.Sink.
 func (c *controller) Changes(changes []bramleyfall.Change, full bool, revision bramleyfall.Revision) {
 	_ = c.do(context.Background(), func() {
 		if full {
@@ -45,7 +45,7 @@
 	}
 }
 
-// Health implements platform.Sink.
+// Health implements etcd.Sink.
 func (c *controller) Health(err error) {
 	_ = c.do(context.Background(), func() {
 		if err != nil {
--- a/platform/client.go
+++ b/etcd/client.go
@@ -1,6 +1,6 @@
-// Package platform speaks to the platform's key-value service through the
+// Package etcd speaks to the platform's key-value service through the
 // JSON form of the etcd v3 API over HTTP.
-package platform
+package etcd
 
 import (
 	"bytes"
--- a/platform/messages.go
+++ b/etcd/messages.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 // The messages of the etcd v3 API in their JSON form, as far as they are used.
 // Keys and values are base64, numbers of 64 bits are text
--- a/platform/reader.go
+++ b/etcd/reader.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"context"
--- a/operator/edit.go
+++ b/operator/edit.go
@@ -8,14 +8,14 @@
 
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/configuration"
-	"bramleyfall.example/bramleyfall/platform"
+	"bramleyfall.example/bramleyfall/etcd"
 )
 
 func cut(text string) (address, protocol string, ok bool) { return strings.Cut(text, "/") }
 
 // Propose turns a command into a change. The error tells why the command can
 // never be accepted.
-func Propose(s *Statement) (platform.Proposal, error) {
+func Propose(s *Statement) (etcd.Proposal, error) {
 	switch {
 	case s.Create != nil:
 		return proposeCreate(s.Create)
@@ -40,12 +40,12 @@
 	case s.Delete != nil:
 		return proposeDelete(s.Delete.Value)
 	}
-	return platform.Proposal{}, bramleyfall.Errorf(bramleyfall.BadStatement, "the statement is not a command")
+	return etcd.Proposal{}, bramleyfall.Errorf(bramleyfall.BadStatement, "the statement is not a command")
 }
 
 // editService returns a proposal that edits an existing service.
-func editService(name string, edit func(*bramleyfall.Service) error) platform.Proposal {
-	return platform.Proposal{
+func editService(name string, edit func(*bramleyfall.Service) error) etcd.Proposal {
+	return etcd.Proposal{
 		Key: configuration.ServiceKey(bramleyfall.ServiceName(name)),
 		Edit: func(current json.RawMessage) (json.RawMessage, error) {
 			if current == nil {
@@ -64,8 +64,8 @@
 }
 
 // setValue returns a proposal that writes a value whatever was there.
-func setValue(key string, value any) platform.Proposal {
-	return platform.Proposal{
+func setValue(key string, value any) etcd.Proposal {
+	return etcd.Proposal{
 		Key:  key,
 		Edit: func(json.RawMessage) (json.RawMessage, error) { return json.Marshal(value) },
 	}
@@ -94,23 +94,23 @@
 	return nil
 }
 
-func proposeCreate(c *Create) (platform.Proposal, error) {
+func proposeCreate(c *Create) (etcd.Proposal, error) {
 	if err := checkName(c.Name); err != nil {
-		return platform.Proposal{}, err
+		return etcd.Proposal{}, err
 	}
 	address, err := serviceAddress(c.Address)
 	if err != nil {
-		return platform.Proposal{}, err
+		return etcd.Proposal{}, err
 	}
 	for _, pattern := range c.Allow {
 		if err := checkPattern(pattern); err != nil {
-			return platform.Proposal{}, err
+			return etcd.Proposal{}, err
 		}
 	}
 	service := bramleyfall.Service{
 		Name: bramleyfall.ServiceName(c.Name), Addresses: []bramleyfall.ServiceAddress{address}, Allowed: c.Allow,
 	}
-	return platform.Proposal{
+	return etcd.Proposal{
 		Key: configuration.ServiceKey(service.Name),
 		Edit: func(current json.RawMessage) (json.RawMessage, error) {
 			if current != nil {
@@ -121,7 +121,7 @@
 	}, nil
 }
 
-func proposeAdd(a *Add) (platform.Proposal, error) {
+func proposeAdd(a *Add) (etcd.Proposal, error) {
 	address, err := serviceAddress(a.Address)
 	return editService(a.Service, func(s *bramleyfall.Service) error {
 		if slices.ContainsFunc(s.Addresses, func(x bramleyfall.ServiceAddress) bool { return sameAddress(x, address) }) {
@@ -136,7 +136,7 @@
 	return a.Endpoint == b.Endpoint && a.Protocol == b.Protocol
 }
 
-func proposeRemove(r *Remove) (platform.Proposal, error) {
+func proposeRemove(r *Remove) (etcd.Proposal, error) {
 	endpoint, protocol, err := parseAddress(r.Address)
 	gone := bramleyfall.ServiceAddress{Endpoint: endpoint, Protocol: protocol}
 	return editService(r.Service, func(s *bramleyfall.Service) error {
@@ -149,7 +149,7 @@
 	}), err
 }
 
-func proposePermit(p *Permit, allow bool) (platform.Proposal, error) {
+func proposePermit(p *Permit, allow bool) (etcd.Proposal, error) {
 	return editService(p.Service, func(s *bramleyfall.Service) error {
 		has := slices.Contains(s.Allowed, p.Pattern)
 		switch {
@@ -165,13 +165,13 @@
 	}), checkPattern(p.Pattern)
 }
 
-func proposeDrain(id string, drained bool) (platform.Proposal, error) {
+func proposeDrain(id string, drained bool) (etcd.Proposal, error) {
 	order := bramleyfall.UpstreamOrder{ID: bramleyfall.UpstreamID(id), Drained: drained}
 	return setValue(configuration.UpstreamKey(order.ID), order), checkName(id)
 }
 
-func proposeDomain(name string, event configuration.DomainEvent) (platform.Proposal, error) {
-	return platform.Proposal{
+func proposeDomain(name string, event configuration.DomainEvent) (etcd.Proposal, error) {
+	return etcd.Proposal{
 		Key: configuration.DomainKey(bramleyfall.DomainName(name)),
 		Edit: func(current json.RawMessage) (json.RawMessage, error) {
 			domain := bramleyfall.Domain{Name: bramleyfall.DomainName(name), State: bramleyfall.DomainIn}
@@ -189,7 +189,7 @@
 	}, checkName(name)
 }
 
-func proposeSet(s *Set) (platform.Proposal, error) {
+func proposeSet(s *Set) (etcd.Proposal, error) {
 	value, err := parseDuration(s.Value)
 	return editService(s.Service, func(service *bramleyfall.Service) error {
 		if s.Property == "WarmUp" {
@@ -201,8 +201,8 @@
 	}), err
 }
 
-func proposeDelete(name string) (platform.Proposal, error) {
-	return platform.Proposal{
+func proposeDelete(name string) (etcd.Proposal, error) {
+	return etcd.Proposal{
 		Key: configuration.ServiceKey(bramleyfall.ServiceName(name)),
 		Edit: func(current json.RawMessage) (json.RawMessage, error) {
 			if current == nil {
--- a/operator/service.go
+++ b/operator/service.go
@@ -10,7 +10,7 @@
 
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/operator/operatorpb"
-	"bramleyfall.example/bramleyfall/platform"
+	"bramleyfall.example/bramleyfall/etcd"
 )
 
 // submitTimeout bounds the time for which a change is offered to the platform.
@@ -19,7 +19,7 @@
 // Service executes the statements that operators send to a balancer.
 type Service struct {
 	control Control
-	writer  *platform.Writer
+	writer  *etcd.Writer
 	chart   *changeChart
 }
 
@@ -27,7 +27,7 @@
 
 // NewService returns the service of a balancer. The error names a fault in the
 // chart of changes.
-func NewService(control Control, writer *platform.Writer) (*Service, error) {
+func NewService(control Control, writer *etcd.Writer) (*Service, error) {
 	c, err := newChangeChart()
 	return &Service{control: control, writer: writer, chart: c}, err
 }
--- a/slopes/control.go
+++ b/slopes/control.go
@@ -12,7 +12,7 @@
 	"bramleyfall.example/bramleyfall/configuration"
 	"bramleyfall.example/bramleyfall/peer"
 	"bramleyfall.example/bramleyfall/peer/peerpb"
-	"bramleyfall.example/bramleyfall/platform"
+	"bramleyfall.example/bramleyfall/etcd"
 	"bramleyfall.example/bramleyfall/virtual"
 	"bramleyfall.example/bramleyfall/workload"
 )
@@ -398,11 +398,11 @@
 		for _, m := range members {
 			node := peer.NewNode(*m, configuration.New(), workload.Epoch)
 			node.Know(members)
-			if node.IsReader(platform.ReadersPerDomain) {
+			if node.IsReader(etcd.ReadersPerDomain) {
 				readers++
 			}
 		}
-		renewals := float64(readers) / (platform.ContactTTL / 3).Seconds()
+		renewals := float64(readers) / (etcd.ContactTTL / 3).Seconds()
 		// A reader holds one watch, which waits and counts as one call, and with
 		// each renewal of its lease reads the contact points.
 		t.add("Platform", "Instances", float64(size), "Watches", float64(readers))
--- a/standin/etcd/etcd_test.go
+++ b/standin/etcd/etcd_test.go
@@ -11,8 +11,8 @@
 	"github.com/matryer/is"
 
 	"bramleyfall.example/bramleyfall"
-	"bramleyfall.example/bramleyfall/platform"
-	"bramleyfall.example/bramleyfall/standin/etcd"
+	"bramleyfall.example/bramleyfall/etcd"
+	store "bramleyfall.example/bramleyfall/standin/etcd"
 )
 
 // manual is a clock that tests move.
@@ -35,26 +35,26 @@
 
 type setup struct {
 	clock  *manual
-	store  *etcd.Store
-	server *etcd.Server
-	client *platform.Client
-	writer *platform.Writer
+	store  *store.Store
+	server *store.Server
+	client *etcd.Client
+	writer *etcd.Writer
 }
 
 func newSetup(t *testing.T) *setup {
 	s := &setup{clock: &manual{now: time.Unix(1_800_000_000, 0)}}
-	s.store = etcd.NewStore(s.clock)
-	s.server = etcd.NewServer(s.store)
+	s.store = store.NewStore(s.clock)
+	s.server = store.NewServer(s.store)
 	http := httptest.NewServer(s.server.Handler())
 	t.Cleanup(http.Close)
-	s.client = platform.New(http.URL)
-	s.writer = platform.NewWriter(s.client, s.clock)
+	s.client = etcd.New(http.URL)
+	s.writer = etcd.NewWriter(s.client, s.clock)
 	return s
 }
 
 // proposal sets domain/Ife to a value after before ran.
-func proposal(id, value string, before func()) platform.Proposal {
-	return platform.Proposal{
+func proposal(id, value string, before func()) etcd.Proposal {
+	return etcd.Proposal{
 		ID: bramleyfall.ChangeID(id), Actor: id, Key: "domain/Ife",
 		Edit: func(json.RawMessage) (json.RawMessage, error) {
 			if before != nil {
@@ -79,15 +79,15 @@
 func TestAnswerIsTrueWhateverThePlatformDoes(t *testing.T) {
 	tests := []struct {
 		name     string
-		faults   etcd.Faults
+		faults   store.Faults
 		code     bramleyfall.ResultCode
 		accepted int
 	}{
-		{"all is well", etcd.Faults{}, bramleyfall.OK, 1},
-		{"down", etcd.Faults{Outage: true}, bramleyfall.PlatformAway, 0},
-		{"slow", etcd.Faults{Delay: 150 * time.Millisecond}, bramleyfall.OK, 1},
-		{"the answer is lost after the write", etcd.Faults{LoseAnswers: 1}, bramleyfall.OK, 1},
-		{"several answers are lost", etcd.Faults{LoseAnswers: 2}, bramleyfall.OK, 1},
+		{"all is well", store.Faults{}, bramleyfall.OK, 1},
+		{"down", store.Faults{Outage: true}, bramleyfall.PlatformAway, 0},
+		{"slow", store.Faults{Delay: 150 * time.Millisecond}, bramleyfall.OK, 1},
+		{"the answer is lost after the write", store.Faults{LoseAnswers: 1}, bramleyfall.OK, 1},
+		{"several answers are lost", store.Faults{LoseAnswers: 2}, bramleyfall.OK, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -105,10 +105,10 @@
 	is := is.New(t)
 	s := newSetup(t)
 	// The write takes effect, its answer is lost, and then nothing answers.
-	s.server.SetFaults(etcd.Faults{LoseAnswers: 1, OutageAfterLoss: true})
+	s.server.SetFaults(store.Faults{LoseAnswers: 1, OutageAfterLoss: true})
 	_, err := s.writer.Submit(context.Background(), proposal("c-1", "Out", nil))
 	is.Equal(bramleyfall.CodeOf(err), bramleyfall.Unknown)
-	s.server.SetFaults(etcd.Faults{})
+	s.server.SetFaults(store.Faults{})
 	_, err = s.writer.Submit(context.Background(), proposal("c-1", "Out", nil))
 	is.NoErr(err)
 	is.Equal(s.accepted("c-1"), 1) // never twice
@@ -150,12 +150,12 @@
 func TestLeaseThatLapsedInAPauseIsNotActedOn(t *testing.T) {
 	is := is.New(t)
 	s := newSetup(t)
-	lease := platform.NewLease(s.client, s.clock, "Ife", platform.Contact{ID: "balancer-1", Domain: "Ife"})
+	lease := etcd.NewLease(s.client, s.clock, "Ife", etcd.Contact{ID: "balancer-1", Domain: "Ife"})
 	is.NoErr(lease.Renew(context.Background()))
 	is.True(lease.Held())
-	s.clock.move(platform.ContactTTL + time.Second) // the holder stood still
+	s.clock.move(etcd.ContactTTL + time.Second) // the holder stood still
 	is.True(!lease.Held())
-	contacts, err := platform.Contacts(context.Background(), s.client)
+	contacts, err := etcd.Contacts(context.Background(), s.client)
 	is.NoErr(err)
 	is.Equal(len(contacts), 0)
 	is.NoErr(lease.Renew(context.Background()))
@@ -200,7 +200,7 @@
 				is.NoErr(err)
 			}
 			k := &sink{revision: test.known, last: test.last}
-			err := platform.NewReader(s.client, k).CatchUp(context.Background())
+			err := etcd.NewReader(s.client, k).CatchUp(context.Background())
 			is.Equal(bramleyfall.CodeOf(err), test.code)
 			is.Equal(k.revision, test.revision)
 			is.Equal(k.count, test.count)
--- a/standin/etcd/server.go
+++ b/standin/etcd/server.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"bramleyfall.example/bramleyfall/platform"
+	"bramleyfall.example/bramleyfall/etcd"
 )
 
 // Faults are the faults that a Server shows.
@@ -109,12 +109,12 @@
 	})
 }
 
-func (s *Server) serveRange(r platform.RangeRequest) any {
+func (s *Server) serveRange(r etcd.RangeRequest) any {
 	kvs, revision := s.store.Range(r.Key, r.RangeEnd)
-	return platform.RangeResponse{Header: platform.ResponseHeader{Revision: revision}, KVs: kvs}
+	return etcd.RangeResponse{Header: etcd.ResponseHeader{Revision: revision}, KVs: kvs}
 }
 
-func (s *Server) serveTxn(r platform.TxnRequest) any {
+func (s *Server) serveTxn(r etcd.TxnRequest) any {
 	ok, revision := s.store.Txn(r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,19 +123,19 @@
 		s.faults.Outage = s.faults.OutageAfterLoss && s.faults.LoseAnswers == 0
 		return nil
 	}
-	return platform.TxnResponse{Header: platform.ResponseHeader{Revision: revision}, Succeeded: ok}
+	return etcd.TxnResponse{Header: etcd.ResponseHeader{Revision: revision}, Succeeded: ok}
 }
 
-func (s *Server) serveGrant(r platform.LeaseGrantRequest) any {
-	return platform.LeaseGrantResponse{ID: s.store.Grant(time.Duration(r.TTL) * time.Second), TTL: r.TTL}
+func (s *Server) serveGrant(r etcd.LeaseGrantRequest) any {
+	return etcd.LeaseGrantResponse{ID: s.store.Grant(time.Duration(r.TTL) * time.Second), TTL: r.TTL}
 }
 
-func (s *Server) serveKeepAlive(r platform.LeaseKeepAliveRequest) any {
+func (s *Server) serveKeepAlive(r etcd.LeaseKeepAliveRequest) any {
 	left := s.store.KeepAlive(r.ID)
-	return platform.LeaseKeepAliveResponse{Result: platform.LeaseKeepAlive{ID: r.ID, TTL: int64(left.Seconds())}}
+	return etcd.LeaseKeepAliveResponse{Result: etcd.LeaseKeepAlive{ID: r.ID, TTL: int64(left.Seconds())}}
 }
 
-func (s *Server) serveRevoke(r platform.LeaseRevokeRequest) any {
+func (s *Server) serveRevoke(r etcd.LeaseRevokeRequest) any {
 	s.store.Revoke(r.ID)
 	return struct{}{}
 }
@@ -144,7 +144,7 @@
 	if !s.enter(w, "/v3/watch") {
 		return
 	}
-	var request platform.WatchRequest
+	var request etcd.WatchRequest
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -156,7 +156,7 @@
 	defer stop()
 	out := http.NewResponseController(w)
 	encoder := json.NewEncoder(w)
-	_ = encoder.Encode(platform.WatchResponse{})
+	_ = encoder.Encode(etcd.WatchResponse{})
 	_ = out.Flush()
 	for {
 		select {
@@ -165,7 +165,7 @@
 		case <-cut:
 			return
 		case e, ok := <-events:
-			if !ok || encoder.Encode(platform.WatchResponse{Result: platform.WatchResult{Events: []platform.Event{e}}}) != nil {
+			if !ok || encoder.Encode(etcd.WatchResponse{Result: etcd.WatchResult{Events: []etcd.Event{e}}}) != nil {
 				return
 			}
 			_ = out.Flush()
--- a/standin/etcd/store.go
+++ b/standin/etcd/store.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"bramleyfall.example/bramleyfall"
-	"bramleyfall.example/bramleyfall/platform"
+	"bramleyfall.example/bramleyfall/etcd"
 )
 
 // Store keeps the keys and the leases. It is safe for concurrent use.
@@ -17,11 +17,11 @@
 	mu       sync.Mutex
 	clock    bramleyfall.Clock
 	revision int64
-	keys     map[string]platform.KeyValue
+	keys     map[string]etcd.KeyValue
 	leases   map[int64]*lease
 	nextID   int64
 	watchers map[*watcher]bool
-	history  []platform.Event
+	history  []etcd.Event
 }
 
 type lease struct {
@@ -31,7 +31,7 @@
 
 type watcher struct {
 	from, to string
-	events   chan platform.Event
+	events   chan etcd.Event
 }
 
 // watchQueue is the number of events that wait for a watcher.
@@ -41,23 +41,23 @@
 func NewStore(clock bramleyfall.Clock) *Store {
 	return &Store{
 		clock: clock, revision: 1,
-		keys: make(map[string]platform.KeyValue), leases: make(map[int64]*lease),
+		keys: make(map[string]etcd.KeyValue), leases: make(map[int64]*lease),
 		watchers: make(map[*watcher]bool),
 	}
 }
 
 // Range returns the pairs in [from, to), or the pair of from alone.
-func (s *Store) Range(from, to []byte) ([]platform.KeyValue, int64) {
+func (s *Store) Range(from, to []byte) ([]etcd.KeyValue, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	var out []platform.KeyValue
+	var out []etcd.KeyValue
 	for _, kv := range s.keys {
 		if inRange(kv.Key, from, to) {
 			out = append(out, kv)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.KeyValue) int { return bytes.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b etcd.KeyValue) int { return bytes.Compare(a.Key, b.Key) })
 	return out, s.revision
 }
 
@@ -69,7 +69,7 @@
 }
 
 // Txn applies a transaction and reports whether its conditions held.
-func (s *Store) Txn(r platform.TxnRequest) (bool, int64) {
+func (s *Store) Txn(r etcd.TxnRequest) (bool, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -92,7 +92,7 @@
 	return true, s.revision
 }
 
-func (s *Store) put(r *platform.PutRequest) {
+func (s *Store) put(r *etcd.PutRequest) {
 	kv := s.keys[string(r.Key)]
 	if kv.CreateRevision == 0 {
 		kv.CreateRevision = s.revision
@@ -100,7 +100,7 @@
 	kv.Key, kv.Value, kv.ModRevision, kv.Lease = r.Key, r.Value, s.revision, r.Lease
 	kv.Version++
 	s.keys[string(r.Key)] = kv
-	s.publish(platform.Event{KV: kv})
+	s.publish(etcd.Event{KV: kv})
 }
 
 func (s *Store) delete(key string) {
@@ -109,10 +109,10 @@
 		return
 	}
 	delete(s.keys, key)
-	s.publish(platform.Event{Type: "DELETE", KV: platform.KeyValue{Key: kv.Key, ModRevision: s.revision}})
+	s.publish(etcd.Event{Type: "DELETE", KV: etcd.KeyValue{Key: kv.Key, ModRevision: s.revision}})
 }
 
-func (s *Store) publish(e platform.Event) {
+func (s *Store) publish(e etcd.Event) {
 	s.history = append(s.history, e)
 	for w := range s.watchers {
 		if !inRange(e.KV.Key, []byte(w.from), []byte(w.to)) {
@@ -128,7 +128,7 @@
 }
 
 // History returns all changes since the start, for checks against the truth.
-func (s *Store) History() []platform.Event {
+func (s *Store) History() []etcd.Event {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Clone(s.history)
@@ -136,10 +136,10 @@
 
 // Watch returns a channel of the changes in [from, to) and a function that
 // ends it. The channel closes when the watcher is too slow.
-func (s *Store) Watch(from, to string) (<-chan platform.Event, func()) {
+func (s *Store) Watch(from, to string) (<-chan etcd.Event, func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := &watcher{from: from, to: to, events: make(chan platform.Event, watchQueue)}
+	w := &watcher{from: from, to: to, events: make(chan etcd.Event, watchQueue)}
 	s.watchers[w] = true
 	return w.events, func() {
 		s.mu.Lock()
