--- /dev/null
+++ b/admission/gate.go
@@ -0,0 +1,293 @@
+// Package admission decides, beside an upstream, which flows it takes. The
+// upstream itself knows what flows it holds: it returns any packet that isn't
+// its own, so that an agent that was restarted loses nothing.
+package admission
+
+import (
+	"time"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/caller"
+	"bramleyfall.example/bramleyfall/chart"
+)
+
+// Config holds the settings of a Gate.
+type Config struct {
+	// Service is the service of the upstream.
+	Service bramleyfall.ServiceName
+	// HeartbeatEvery is the time between two heartbeats of the upstream.
+	HeartbeatEvery time.Duration
+	// MissedHeartbeats is the number of heartbeats in a row without which the
+	// upstream counts as away.
+	MissedHeartbeats int
+	// QueuePerSlot is the number of requests that may wait for each slot when no
+	// other upstream takes an opening.
+	QueuePerSlot float64
+	// OpeningWithin and RequestWithin are the times without any packet of the
+	// upstream after which it counts as silent, from an opening and from a
+	// request on.
+	OpeningWithin, RequestWithin time.Duration
+	// Reserve is the time within which an opened flow is expected to bring its
+	// request; until then it holds a slot.
+	Reserve time.Duration
+}
+
+// DefaultConfig returns the settings used where options set no others.
+func DefaultConfig() Config {
+	return Config{
+		HeartbeatEvery:   time.Second,
+		MissedHeartbeats: 3, // one may be lost, one may be late
+		QueuePerSlot:     1.5,
+		OpeningWithin:    150 * time.Millisecond, // an upstream answers an opening within a millisecond
+		RequestWithin:    time.Second,            // it answers a request after its work, which may be slow
+		Reserve:          100 * time.Millisecond, // several round trips to a caller
+	}
+}
+
+// Option sets an option of a Gate.
+type Option func(*Config)
+
+// WithService sets the service of the upstream.
+func WithService(name bramleyfall.ServiceName) Option { return func(c *Config) { c.Service = name } }
+
+// WithHeartbeat sets the time between two heartbeats.
+func WithHeartbeat(every time.Duration) Option { return func(c *Config) { c.HeartbeatEvery = every } }
+
+// Gate owns the flows of one upstream. It is not safe for concurrent use.
+type Gate struct {
+	config   Config
+	chart    caller.FlowChart
+	flows    map[bramleyfall.Flow]*flow
+	snapshot *bramleyfall.Snapshot
+	upstream upstream
+	cold     window
+	use      meter
+	// live counts flows that are not closed, busy those with a request under way.
+	live, busy int
+	leaving    bool
+	// started is when the gate began: flows that were open before are unknown.
+	started time.Time
+}
+
+// flow is the state of one flow.
+type flow struct {
+	state chart.ID
+	// reply is the sequence number of the upstream's SYN+ACK.
+	reply uint32
+	// opening is the sequence number of the caller's SYN.
+	opening uint32
+	lastUse time.Time
+	waiting bool
+}
+
+// New returns the gate of an upstream that hasn't been heard of yet.
+func New(now time.Time, options ...Option) (*Gate, error) {
+	config := DefaultConfig()
+	for _, o := range options {
+		o(&config)
+	}
+	flowChart, err := caller.NewFlowChart()
+	if err != nil {
+		return nil, err
+	}
+	return &Gate{
+		config: config, chart: flowChart, flows: make(map[bramleyfall.Flow]*flow),
+		use: newMeter(now), started: now,
+	}, nil
+}
+
+// Configure takes a newer configuration.
+func (g *Gate) Configure(s *bramleyfall.Snapshot, now time.Time) {
+	if g.snapshot != nil && g.out(g.snapshot) && !g.out(s) {
+		// It may have gone cold while it got nothing.
+		g.upstream.assumeCold(now, s.Services[g.config.Service].ColdFor)
+	}
+	g.snapshot = s
+}
+
+func (g *Gate) out(s *bramleyfall.Snapshot) bool { return s.Out[g.upstream.domain] }
+
+// Version returns the version of the configuration, or zero.
+func (g *Gate) Version() bramleyfall.ConfigVersion {
+	if g.snapshot == nil {
+		return 0
+	}
+	return g.snapshot.Version
+}
+
+// Leave stops taking new flows, since the agent is about to stop.
+func (g *Gate) Leave() { g.leaving = true }
+
+// Busy returns the number of requests under way.
+func (g *Gate) Busy() int { return g.busy }
+
+// Flows returns the number of open flows.
+func (g *Gate) Flows() int { return g.live }
+
+// Load returns what balancers are told.
+func (g *Gate) Load(now time.Time) bramleyfall.Load {
+	return bramleyfall.Load{
+		State:       g.State(now),
+		Slots:       uint16(g.upstream.slots),
+		Busy:        uint16(min(g.busy, 1<<16-1)),
+		Flows:       uint16(min(g.live, 1<<16-1)),
+		Utilization: g.use.permille(now, g.busy, g.upstream.slots),
+	}
+}
+
+// Offer is what a balancer says of a packet that it forwards.
+type Offer struct {
+	Service  bramleyfall.ServiceKey
+	Version  bramleyfall.ConfigVersion
+	Priority bramleyfall.Priority
+	// Must is set when all other upstreams have refused the opening.
+	Must bool
+	// Asked is set on a packet whose owner the balancer is looking for.
+	Asked bool
+}
+
+// FromBalancer decides on a caller's packet: ActionDeliver hands it to the
+// upstream, ActionPass back to the balancer, ActionDrop discards it.
+func (g *Gate) FromBalancer(p *bramleyfall.Packet, o Offer, now time.Time) bramleyfall.Action {
+	f := g.flows[p.Flow]
+	if p.Kind == bramleyfall.KindOpening {
+		return g.open(p, f, o, now)
+	}
+	if f == nil {
+		return g.unknown(p, o, now)
+	}
+	if f.state == g.chart.Opening || f.state == g.chart.HalfOpen {
+		if f.state == g.chart.Opening || !p.HasAck || p.Ack != f.reply+1 {
+			// The caller answers another upstream's reply.
+			return pass(p, bramleyfall.NoOwner)
+		}
+		g.fire(f, g.chart.Acknowledged, now)
+	}
+	f.lastUse = now
+	if p.Length > 0 && f.state != g.chart.Closed {
+		g.setWaiting(f, true, now)
+		g.upstream.delivered(&g.upstream.requestSince, now)
+	}
+	switch p.Kind {
+	case bramleyfall.KindFinish:
+		g.fire(f, g.chart.CallerFin, now)
+	case bramleyfall.KindReset:
+		g.fire(f, g.chart.Reset, now)
+	}
+	return bramleyfall.Action{Kind: bramleyfall.ActionDeliver, Flow: p.Flow, Opened: true}
+}
+
+// unknown decides on a packet of a flow that the gate doesn't hold. While flows
+// from before its start may exist, the upstream is asked by the packet itself.
+func (g *Gate) unknown(p *bramleyfall.Packet, o Offer, now time.Time) bramleyfall.Action {
+	if p.Kind == bramleyfall.KindReset && o.Asked {
+		return bramleyfall.Action{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoOwner, Flow: p.Flow}
+	}
+	if o.Service != g.config.Service.Key() || now.Sub(g.started) > g.lifetime() {
+		return pass(p, bramleyfall.NoOwner)
+	}
+	return bramleyfall.Action{Kind: bramleyfall.ActionDeliver, Flow: p.Flow}
+}
+
+// lifetime is the longest time for which a flow that was open at the gate's
+// start can go unseen.
+func (g *Gate) lifetime() time.Duration {
+	const unset = time.Minute
+	if g.snapshot == nil || g.snapshot.IdleTimeout == 0 {
+		return unset
+	}
+	return g.snapshot.IdleTimeout
+}
+
+func pass(p *bramleyfall.Packet, code bramleyfall.ResultCode) bramleyfall.Action {
+	return bramleyfall.Action{Kind: bramleyfall.ActionPass, Code: code, Flow: p.Flow}
+}
+
+// FromUpstream decides on a packet that the upstream sent to a caller.
+func (g *Gate) FromUpstream(p *bramleyfall.Packet, now time.Time) bramleyfall.Action {
+	key := p.Flow.Reverse()
+	g.upstream.heard()
+	action := bramleyfall.Action{Kind: bramleyfall.ActionReturn, Flow: key}
+	f := g.flows[key]
+	if f == nil {
+		if p.Kind == bramleyfall.KindReset {
+			return action
+		}
+		f = &flow{state: g.chart.Established}
+		g.flows[key] = f
+		g.live++
+		action.Opened = true
+	}
+	f.lastUse = now
+	switch p.Kind {
+	case bramleyfall.KindOpeningReply:
+		if f.state == g.chart.Opening {
+			f.reply = p.Sequence
+			action.Opened = true
+		}
+		g.fire(f, g.chart.Accepted, now)
+	case bramleyfall.KindFinish:
+		g.fire(f, g.chart.UpstreamFin, now)
+	case bramleyfall.KindReset:
+		g.fire(f, g.chart.Reset, now)
+	}
+	if p.Length > 0 {
+		g.setWaiting(f, false, now)
+	}
+	return action
+}
+
+// Returned decides on a packet that the upstream didn't take.
+func (g *Gate) Returned(p *bramleyfall.Packet, now time.Time) bramleyfall.Action {
+	g.upstream.heard()
+	f := g.flows[p.Flow]
+	if f == nil {
+		return pass(p, bramleyfall.NoOwner)
+	}
+	if p.Kind != bramleyfall.KindOpening {
+		if f.state == g.chart.Established {
+			// A run that holds flows doesn't forget them: this is another run.
+			g.upstream.assumeCold(now, g.limits().ColdFor)
+		}
+		g.forget(p.Flow, f, now)
+		return pass(p, bramleyfall.NoOwner)
+	}
+	if f.state == g.chart.Opening {
+		g.forget(p.Flow, f, now)
+	}
+	return pass(p, bramleyfall.NotRunFull)
+}
+
+func (g *Gate) limits() bramleyfall.ServiceLimits {
+	if g.snapshot == nil {
+		return bramleyfall.ServiceLimits{}
+	}
+	return g.snapshot.Services[g.config.Service]
+}
+
+func (g *Gate) forget(key bramleyfall.Flow, f *flow, now time.Time) {
+	g.fire(f, g.chart.Reset, now)
+	delete(g.flows, key)
+}
+
+func (g *Gate) fire(f *flow, event chart.ID, now time.Time) {
+	next, _ := g.chart.Fire(f.state, event)
+	if next == g.chart.Closed && f.state != g.chart.Closed {
+		g.live--
+		g.setWaiting(f, false, now)
+	}
+	f.state = next
+}
+
+func (g *Gate) setWaiting(f *flow, waiting bool, now time.Time) {
+	if f.waiting == waiting {
+		return
+	}
+	g.use.advance(now, g.busy)
+	f.waiting = waiting
+	if waiting {
+		g.busy++
+		return
+	}
+	g.busy--
+}
--- /dev/null
+++ b/admission/meter.go
@@ -0,0 +1,54 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// windowSpan is the span over which the rate of a cold upstream counts.
+const windowSpan = time.Second
+
+// window counts events in a sliding second.
+type window struct{ times []time.Time }
+
+func (w *window) add(now time.Time) { w.times = append(w.times, now) }
+
+func (w *window) count(now time.Time) int {
+	first := 0
+	for first < len(w.times) && now.Sub(w.times[first]) >= windowSpan {
+		first++
+	}
+	w.times = w.times[first:]
+	return len(w.times)
+}
+
+// useSpan is the time over which use is averaged: a few requests of a long flow.
+const useSpan = time.Second
+
+// meter averages the number of requests under way with exponential decay.
+type meter struct {
+	at   time.Time
+	mean float64
+}
+
+func newMeter(now time.Time) meter { return meter{at: now} }
+
+// advance takes that busy requests were under way since the last call.
+func (m *meter) advance(now time.Time, busy int) {
+	elapsed := now.Sub(m.at)
+	if elapsed <= 0 {
+		return
+	}
+	keep := math.Exp(-float64(elapsed) / float64(useSpan))
+	m.mean = m.mean*keep + float64(busy)*(1-keep)
+	m.at = now
+}
+
+// permille returns the mean use of the slots in 1/1000.
+func (m *meter) permille(now time.Time, busy, slots int) uint16 {
+	m.advance(now, busy)
+	if slots == 0 {
+		return 0
+	}
+	return uint16(min(1000*m.mean/float64(slots), math.MaxUint16))
+}
--- /dev/null
+++ b/admission/opening.go
@@ -0,0 +1,124 @@
+package admission
+
+import (
+	"time"
+
+	"bramleyfall.example/bramleyfall"
+)
+
+// open decides on an opening. A copy of one that the upstream was given goes to
+// it again, unless it doesn't answer.
+func (g *Gate) open(p *bramleyfall.Packet, f *flow, o Offer, now time.Time) bramleyfall.Action {
+	if f != nil && f.state != g.chart.Closed && f.opening == p.Sequence {
+		if f.state == g.chart.Opening && g.silent(now) {
+			return pass(p, bramleyfall.NotRunUnavailable)
+		}
+		return bramleyfall.Action{Kind: bramleyfall.ActionDeliver, Flow: p.Flow}
+	}
+	if code := g.admit(p.Flow.Destination, o, now); code != bramleyfall.OK {
+		return pass(p, code)
+	}
+	if f != nil {
+		g.forget(p.Flow, f, now)
+	}
+	f = &flow{state: g.chart.Opening, opening: p.Sequence, lastUse: now}
+	g.flows[p.Flow] = f
+	g.live++
+	g.setWaiting(f, true, now)
+	g.upstream.delivered(&g.upstream.openingSince, now)
+	if g.upstream.cold(now) {
+		g.cold.add(now)
+	}
+	return bramleyfall.Action{Kind: bramleyfall.ActionDeliver, Flow: p.Flow, Opened: true}
+}
+
+// admit reports whether the upstream takes one more flow.
+func (g *Gate) admit(address bramleyfall.Endpoint, o Offer, now time.Time) bramleyfall.ResultCode {
+	limits := g.limits()
+	switch {
+	case o.Service != g.config.Service.Key():
+		return bramleyfall.WrongService
+	case g.snapshot != nil && g.snapshot.Version >= o.Version && !g.snapshot.Allows(address, g.config.Service):
+		return bramleyfall.WrongService
+	case g.snapshot != nil && g.out(g.snapshot):
+		return bramleyfall.NotRunDomainOut
+	case g.leaving:
+		return bramleyfall.NotRunDraining
+	}
+	switch g.State(now) {
+	case bramleyfall.UpstreamUnknown, bramleyfall.UpstreamSilent:
+		return bramleyfall.NotRunUnavailable
+	case bramleyfall.UpstreamDraining:
+		return bramleyfall.NotRunDraining
+	case bramleyfall.UpstreamCold:
+		if g.cold.count(now) >= coldLimit(limits.ColdRate) {
+			return bramleyfall.NotRunWarmUp
+		}
+	}
+	if limits.Connections > 0 && g.live >= limits.Connections {
+		return bramleyfall.NotRunFull
+	}
+	if g.busy >= g.busyLimit(o) {
+		return bramleyfall.NotRunClass
+	}
+	return bramleyfall.OK
+}
+
+// busyLimit is the number of requests under way from which on an opening is
+// refused. It answers a wave of requests above the upstreams' capacity: as long
+// as another upstream may have a free slot none waits for one, and when all are
+// taken the most important requests may queue longest.
+func (g *Gate) busyLimit(o Offer) int {
+	slots := g.upstream.slots
+	if !o.Must {
+		return slots
+	}
+	queue := g.config.QueuePerSlot * float64(slots)
+	if o.Priority > importantPriority {
+		queue /= 2
+	}
+	return slots + int(queue+0.5)
+}
+
+// importantPriority is the last priority whose openings may use the whole
+// queue: that of the users' orders.
+const importantPriority bramleyfall.Priority = 1
+
+// coldLimit is the number of openings that a cold upstream takes in one second:
+// what it bears, or one where that is less.
+func coldLimit(rate float64) int { return max(1, int(rate)) }
+
+// silent reports whether the upstream leaves packets unanswered.
+func (g *Gate) silent(now time.Time) bool {
+	u := &g.upstream
+	return overdue(u.openingSince, g.config.OpeningWithin, now) || overdue(u.requestSince, g.config.RequestWithin, now)
+}
+
+func overdue(since time.Time, within time.Duration, now time.Time) bool {
+	return !since.IsZero() && now.Sub(since) > within
+}
+
+// Sweep forgets flows that are over and frees the slots of openings that brought
+// no request.
+func (g *Gate) Sweep(now time.Time) {
+	idle := g.lifetime()
+	for key, f := range g.flows {
+		age := now.Sub(f.lastUse)
+		opening := f.state == g.chart.Opening || f.state == g.chart.HalfOpen
+		switch {
+		case f.state == g.chart.Closed && age > closedLinger, opening && age > openingTimeout, age > idle:
+			g.forget(key, f, now)
+		case opening && f.waiting && age > g.config.Reserve:
+			g.setWaiting(f, false, now)
+		}
+	}
+}
+
+const (
+	// closedLinger is the time for which a closed flow is kept for the last
+	// packets on their way: the upstream's longest time between two copies.
+	closedLinger = 2 * time.Second
+	// openingTimeout is the time in which a caller completes an opening: it gives
+	// up after 1.4 s.
+	openingTimeout = 2 * time.Second
+)
--- /dev/null
+++ b/admission/upstream.go
@@ -0,0 +1,108 @@
+package admission
+
+import (
+	"time"
+
+	"bramleyfall.example/bramleyfall"
+)
+
+// upstream is what the gate knows of the process beside it.
+type upstream struct {
+	id       bramleyfall.UpstreamID
+	boot     bramleyfall.BootID
+	sequence uint64
+	domain   bramleyfall.DomainName
+	slots    int
+	draining bool
+	left     bool
+	// coldUntil is until when it is slow after its start.
+	coldUntil time.Time
+	// lastBeat is when its last heartbeat came.
+	lastBeat time.Time
+	// openingSince and requestSince are when the first opening or request was
+	// delivered since the last packet of the upstream, or zero.
+	openingSince, requestSince time.Time
+}
+
+// heard notes that the upstream sent a packet.
+func (u *upstream) heard() { u.openingSince, u.requestSince = time.Time{}, time.Time{} }
+
+// delivered notes in since that the upstream was given something to answer.
+func (u *upstream) delivered(since *time.Time, now time.Time) {
+	if since.IsZero() {
+		*since = now
+	}
+}
+
+func (u *upstream) cold(now time.Time) bool { return now.Before(u.coldUntil) }
+
+// assumeCold treats the upstream as cold until it says otherwise.
+func (u *upstream) assumeCold(now time.Time, coldFor time.Duration) {
+	if until := now.Add(coldFor); until.After(u.coldUntil) {
+		u.coldUntil = until
+	}
+}
+
+// Heartbeat takes what the upstream says of itself. It reports whether the
+// heartbeat is news; late ones and those of earlier runs are not.
+func (g *Gate) Heartbeat(h bramleyfall.Heartbeat, now time.Time) bool {
+	u := &g.upstream
+	sameRun := h.Boot == u.boot && h.Upstream == u.id
+	if sameRun && h.Sequence <= u.sequence || h.Boot < u.boot && !g.away(now) {
+		return false
+	}
+	if !sameRun {
+		g.newRun(now)
+		*u = upstream{id: h.Upstream, boot: h.Boot}
+	}
+	u.sequence, u.domain, u.slots, u.draining = h.Sequence, h.Domain, h.Slots, h.Draining
+	u.coldUntil = now.Add(h.ColdFor)
+	u.lastBeat = now
+	u.heard()
+	return true
+}
+
+// newRun forgets the flows of the run before, which the new one doesn't hold.
+func (g *Gate) newRun(now time.Time) {
+	if g.upstream.boot == 0 {
+		return
+	}
+	for key, f := range g.flows {
+		g.forget(key, f, now)
+	}
+}
+
+// Left takes the upstream's word that it ends.
+func (g *Gate) Left(id bramleyfall.UpstreamID) bool {
+	if id != g.upstream.id {
+		return false
+	}
+	g.upstream.left = true
+	return true
+}
+
+// Upstream returns the run of the upstream that the gate knows.
+func (g *Gate) Upstream() (bramleyfall.UpstreamID, bramleyfall.BootID) {
+	return g.upstream.id, g.upstream.boot
+}
+
+// away reports whether heartbeats are missing.
+func (g *Gate) away(now time.Time) bool {
+	return now.Sub(g.upstream.lastBeat) > time.Duration(g.config.MissedHeartbeats)*g.config.HeartbeatEvery
+}
+
+// State returns the state of the upstream.
+func (g *Gate) State(now time.Time) bramleyfall.UpstreamState {
+	u := &g.upstream
+	switch {
+	case u.boot == 0:
+		return bramleyfall.UpstreamUnknown
+	case u.draining || u.left || g.leaving:
+		return bramleyfall.UpstreamDraining
+	case g.away(now) || g.silent(now):
+		return bramleyfall.UpstreamSilent
+	case u.cold(now):
+		return bramleyfall.UpstreamCold
+	}
+	return bramleyfall.UpstreamReady
+}
--- a/balancer/main.go
+++ b/balancer/main.go
@@ -23,6 +23,9 @@
 }
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "direct" {
+		os.Exit(runDirect(os.Args[2:]))
+	}
 	os.Exit(run(os.Args[1:]))
 }
 
--- a/caller/adopt.go
+++ b/caller/adopt.go
@@ -94,15 +94,15 @@
 func (g *FlowGate) adopt(key bramleyfall.Flow, s *service, p *bramleyfall.Packet, now time.Time) {
 	at := g.millis(now)
 	f := &flow{
-		service: s, state: g.chart.established, lastCaller: at, lastUpstream: at,
+		service: s, state: g.chart.Established, lastCaller: at, lastUpstream: at,
 		nextCaller: p.Ack, nextUpstream: p.End(),
 	}
 	switch p.Kind {
 	case bramleyfall.KindOpeningReply:
-		f.state = g.chart.halfOpen
+		f.state = g.chart.HalfOpen
 		f.upstreamStart = p.Sequence
 	case bramleyfall.KindFinish:
-		g.fire(f, g.chart.upstreamFin)
+		g.fire(f, g.chart.UpstreamFin)
 	}
 	g.flows[key] = f
 	g.live++
--- a/caller/charts.go
+++ b/caller/charts.go
@@ -12,28 +12,29 @@
 //go:embed upstream.chart
 var upstreamChartText string
 
-// flowChart is the chart of a flow with the IDs that the code uses.
-type flowChart struct {
+// FlowChart is the chart of a flow with the IDs that code uses.
+type FlowChart struct {
 	*chart.Chart
-	opening, halfOpen, established, closed         chart.ID
-	accepted, acknowledged, callerFin, upstreamFin chart.ID
-	reset, expired, reopened                       chart.ID
+	Opening, HalfOpen, Established, Closed         chart.ID
+	Accepted, Acknowledged, CallerFin, UpstreamFin chart.ID
+	Reset, Expired, Reopened                       chart.ID
 }
 
-func newFlowChart() (flowChart, error) {
+// NewFlowChart returns the chart in caller/flow.chart.
+func NewFlowChart() (FlowChart, error) {
 	c, err := chart.Parse("caller/flow.chart", flowChartText,
 		[]string{"Opening", "HalfOpen", "Established", "CallerDone", "UpstreamDone", "Closed"},
 		[]string{"UpstreamAccepted", "CallerAcknowledged", "CallerFinished", "UpstreamFinished", "Reset", "Expired", "Reopened"})
 	if err != nil {
-		return flowChart{}, err
+		return FlowChart{}, err
 	}
-	return flowChart{
+	return FlowChart{
 		Chart:   c,
-		opening: c.State("Opening"), halfOpen: c.State("HalfOpen"),
-		established: c.State("Established"), closed: c.State("Closed"),
-		accepted: c.Event("UpstreamAccepted"), acknowledged: c.Event("CallerAcknowledged"),
-		callerFin: c.Event("CallerFinished"), upstreamFin: c.Event("UpstreamFinished"),
-		reset: c.Event("Reset"), expired: c.Event("Expired"), reopened: c.Event("Reopened"),
+		Opening: c.State("Opening"), HalfOpen: c.State("HalfOpen"),
+		Established: c.State("Established"), Closed: c.State("Closed"),
+		Accepted: c.Event("UpstreamAccepted"), Acknowledged: c.Event("CallerAcknowledged"),
+		CallerFin: c.Event("CallerFinished"), UpstreamFin: c.Event("UpstreamFinished"),
+		Reset: c.Event("Reset"), Expired: c.Event("Expired"), Reopened: c.Event("Reopened"),
 	}, nil
 }
 
--- a/caller/gate.go
+++ b/caller/gate.go
@@ -88,7 +88,7 @@
 	config   Config
 	flows    map[bramleyfall.Flow]*flow
 	services serviceSet
-	chart    flowChart
+	chart    FlowChart
 	upstream lifecycle
 	share    share
 	trials   trials
@@ -112,7 +112,7 @@
 	for _, o := range options {
 		o(&config)
 	}
-	flows, err := newFlowChart()
+	flows, err := NewFlowChart()
 	if err != nil {
 		return nil, err
 	}
@@ -308,7 +308,7 @@
 
 func (g *FlowGate) fire(f *flow, event chart.ID) bool {
 	next, ok := g.chart.Fire(f.state, event)
-	if next == g.chart.closed && f.state != g.chart.closed {
+	if next == g.chart.Closed && f.state != g.chart.Closed {
 		g.live--
 		g.setWaiting(f, false)
 	}
--- a/caller/known.go
+++ b/caller/known.go
@@ -13,15 +13,15 @@
 // known decides on a caller's packet of a flow in the table.
 func (g *FlowGate) known(p *bramleyfall.Packet, f *flow, list *bramleyfall.HopList, now time.Time) bramleyfall.Action {
 	switch f.state {
-	case g.chart.closed:
+	case g.chart.Closed:
 		return g.afterClose(p, f, list, now)
-	case g.chart.opening, g.chart.halfOpen:
+	case g.chart.Opening, g.chart.HalfOpen:
 		if p.Kind != bramleyfall.KindOpening && !g.acknowledges(p, f) {
 			// The caller answers another upstream's reply.
 			return g.passOn(p, list, bramleyfall.NoOwner)
 		}
 		if p.Kind != bramleyfall.KindOpening {
-			g.fire(f, g.chart.acknowledged)
+			g.fire(f, g.chart.Acknowledged)
 		}
 	}
 	f.lastCaller = g.millis(now)
@@ -34,16 +34,16 @@
 	}
 	switch p.Kind {
 	case bramleyfall.KindFinish:
-		g.fire(f, g.chart.callerFin)
+		g.fire(f, g.chart.CallerFin)
 	case bramleyfall.KindReset:
-		g.fire(f, g.chart.reset)
+		g.fire(f, g.chart.Reset)
 	}
 	return bramleyfall.Action{Kind: bramleyfall.ActionDeliver, Flow: p.Flow}
 }
 
 // acknowledges reports whether p answers the opening reply of this upstream.
 func (g *FlowGate) acknowledges(p *bramleyfall.Packet, f *flow) bool {
-	return f.state == g.chart.halfOpen && p.HasAck && p.Ack == f.upstreamStart+1
+	return f.state == g.chart.HalfOpen && p.HasAck && p.Ack == f.upstreamStart+1
 }
 
 // afterClose decides on a packet of a flow that both ends have closed. Late
@@ -65,7 +65,7 @@
 // that this upstream owns the flow, and notes that it was told.
 func (g *FlowGate) HintDue(key bramleyfall.Flow, list *bramleyfall.HopList, now time.Time) bool {
 	f := g.flows[key]
-	if f == nil || list.Index == 0 && list.Page == 0 || f.state != g.chart.established {
+	if f == nil || list.Index == 0 && list.Page == 0 || f.state != g.chart.Established {
 		return false
 	}
 	at := g.millis(now)
@@ -92,7 +92,7 @@
 	case bramleyfall.KindOpeningReply:
 		g.upstreamAccepted(p, f)
 	case bramleyfall.KindFinish:
-		g.fire(f, g.chart.upstreamFin)
+		g.fire(f, g.chart.UpstreamFin)
 	case bramleyfall.KindReset:
 		return g.upstreamReset(p, key, f, now)
 	}
@@ -103,17 +103,17 @@
 }
 
 func (g *FlowGate) upstreamAccepted(p *bramleyfall.Packet, f *flow) {
-	if f.state == g.chart.opening {
+	if f.state == g.chart.Opening {
 		f.upstreamStart = p.Sequence
 	}
-	g.fire(f, g.chart.accepted)
+	g.fire(f, g.chart.Accepted)
 }
 
 // upstreamReset hands a reset to the caller. A reset that answers an opening
 // is a shed: nothing was run, and the caller is told when to come back.
 func (g *FlowGate) upstreamReset(p *bramleyfall.Packet, key bramleyfall.Flow, f *flow, now time.Time) bramleyfall.Action {
-	opening := f.state == g.chart.opening
-	g.fire(f, g.chart.reset)
+	opening := f.state == g.chart.Opening
+	g.fire(f, g.chart.Reset)
 	delete(g.flows, key)
 	if !opening {
 		return bramleyfall.Action{Kind: bramleyfall.ActionReturn, Flow: key}
--- a/caller/lifecycle.go
+++ b/caller/lifecycle.go
@@ -137,7 +137,7 @@
 	for _, key := range g.sortedFlows() {
 		f := g.flows[key]
 		answering := f.waiting || f.asked && at-f.lastUpstream < millis(answerTime)
-		if answering || f.state == g.chart.closed || key.Protocol != bramleyfall.TCP {
+		if answering || f.state == g.chart.Closed || key.Protocol != bramleyfall.TCP {
 			continue
 		}
 		actions = append(actions, g.giveUp(key, f, bramleyfall.NotRunDomainOut, true))
@@ -151,10 +151,10 @@
 	var actions []bramleyfall.Action
 	for _, key := range g.sortedFlows() {
 		f := g.flows[key]
-		if f.state != g.chart.closed && key.Protocol == bramleyfall.TCP {
+		if f.state != g.chart.Closed && key.Protocol == bramleyfall.TCP {
 			actions = append(actions, g.giveUp(key, f, code, upstreamToo))
 		}
-		g.fire(f, g.chart.reset)
+		g.fire(f, g.chart.Reset)
 		delete(g.flows, key)
 	}
 	return actions
--- a/caller/opening.go
+++ b/caller/opening.go
@@ -146,11 +146,11 @@
 	}
 	at := g.millis(now)
 	*f = flow{
-		service: s, state: g.chart.opening,
+		service: s, state: g.chart.Opening,
 		lastCaller: at, lastUpstream: at, nextCaller: p.End(),
 	}
 	if p.Flow.Protocol == bramleyfall.UDP {
-		f.state = g.chart.established
+		f.state = g.chart.Established
 	}
 	g.live++
 	g.setWaiting(f, true)
--- a/caller/sweep.go
+++ b/caller/sweep.go
@@ -62,7 +62,7 @@
 func (g *FlowGate) sweepFlow(key bramleyfall.Flow, f *flow, at uint32) (bramleyfall.Action, bool) {
 	caller, upstream := at-f.lastCaller, at-f.lastUpstream
 	switch {
-	case f.state == g.chart.closed:
+	case f.state == g.chart.Closed:
 		if min(caller, upstream) > millis(closedLinger) {
 			delete(g.flows, key)
 		}
@@ -72,7 +72,7 @@
 			g.forget(key, f)
 		}
 		return bramleyfall.Action{}, false
-	case f.state == g.chart.opening || f.state == g.chart.halfOpen:
+	case f.state == g.chart.Opening || f.state == g.chart.HalfOpen:
 		if caller <= millis(openingTimeout) {
 			return bramleyfall.Action{}, false
 		}
@@ -95,7 +95,7 @@
 }
 
 func (g *FlowGate) forget(key bramleyfall.Flow, f *flow) {
-	g.fire(f, g.chart.expired)
+	g.fire(f, g.chart.Expired)
 	delete(g.flows, key)
 }
 
--- /dev/null
+++ b/direct/agent.go
@@ -0,0 +1,450 @@
+package direct
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sourcegraph/conc"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/admission"
+	"bramleyfall.example/bramleyfall/directory"
+	"bramleyfall.example/bramleyfall/telemetry"
+	"bramleyfall.example/bramleyfall/tunnel"
+)
+
+const (
+	// reportEvery is the time between two reports to a balancer that sent
+	// something meanwhile. A balancer takes an agent for silent after more than
+	// twice of it.
+	reportEvery = 200 * time.Millisecond
+	// agentLinger bounds the wait of a leaving agent for a moment without a
+	agentLinger = 2500 * time.Millisecond
+	// leaveCheck is the time between two looks for such a moment.
+	leaveCheck = 5 * time.Millisecond
+	// maxBalancers bounds the balancers that are remembered, and maxClaims the
+	// flows that a balancer waits for word of.
+	maxBalancers = 1 << 15
+	maxClaims    = 1 << 14
+)
+
+// AgentConfig holds the settings of an Agent.
+type AgentConfig struct {
+	ID     bramleyfall.InstanceID
+	Domain bramleyfall.DomainName
+	// Service is the service of the upstream.
+	Service bramleyfall.ServiceName
+	// Packets is where balancers send to. Callers are reached at its port.
+	Packets bramleyfall.Endpoint
+	// Outbound is where the upstream sends its packets to, Upstream where it
+	// takes them.
+	Outbound, Upstream bramleyfall.Endpoint
+	// Control takes the upstream's heartbeats.
+	Control       bramleyfall.Endpoint
+	HTTP, Metrics bramleyfall.Endpoint
+	// HeartbeatEvery is the time between two heartbeats.
+	HeartbeatEvery time.Duration
+}
+
+// Agent hands packets to the upstream beside it and back.
+type Agent struct {
+	config    AgentConfig
+	clock     bramleyfall.Clock
+	telemetry *telemetry.Telemetry
+	wire      bramleyfall.Wire
+	tunnel    *net.UDPConn
+	outbound  *net.UDPConn
+	follower  *directory.Follower
+	announcer *directory.Announcer
+	servers   []*http.Server
+	counts    agentCounts
+
+	// mu guards what follows: the decisions and the buffers for their messages.
+	mu          sync.Mutex
+	gate        *admission.Gate
+	packet      bramleyfall.Packet
+	buffer      []byte
+	balancers   []balancer
+	numbers     map[bramleyfall.Endpoint]uint32
+	claims      map[bramleyfall.Flow]uint32
+	state       bramleyfall.UpstreamState
+	entry       *bramleyfall.Announcement
+	nextRefresh time.Time
+}
+
+// balancer is a balancer that sent something.
+type balancer struct {
+	address bramleyfall.Endpoint
+	// due is set when it is to be sent a report.
+	due bool
+}
+
+type agentCounts struct {
+	packets, opened, passed, returned, malformed *metrics.Counter
+}
+
+// NewAgent opens the sockets of an agent. Control makes the handler of the
+// upstream's heartbeats.
+func NewAgent(config AgentConfig, clock bramleyfall.Clock, wire bramleyfall.Wire, store bramleyfall.Store, source bramleyfall.ConfigurationSource, control func(bramleyfall.UpstreamSink) http.Handler, t *telemetry.Telemetry) (*Agent, error) {
+	gate, err := admission.New(clock.Now(), admission.WithService(config.Service), admission.WithHeartbeat(config.HeartbeatEvery))
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{
+		config: config, clock: clock, telemetry: t, wire: wire, gate: gate,
+		numbers: make(map[bramleyfall.Endpoint]uint32), claims: make(map[bramleyfall.Flow]uint32),
+		state: bramleyfall.UpstreamUnknown,
+		counts: agentCounts{
+			packets:   t.Counter("bramleyfall_packets_total"),
+			opened:    t.Counter("bramleyfall_flows_opened_total"),
+			passed:    t.Counter("bramleyfall_openings_passed_total"),
+			returned:  t.Counter("bramleyfall_packets_returned_total"),
+			malformed: t.Counter("bramleyfall_malformed_messages_total"),
+		},
+	}
+	configuration := &dependency{telemetry: t, name: "Configuration"}
+	own := &dependency{telemetry: t, name: "OwnEntry"}
+	a.follower = directory.NewFollower(source, a.configured, configuration.health)
+	a.announcer = directory.NewAnnouncer(store, own.health)
+	if a.tunnel, err = listenUDP(config.Packets); err != nil {
+		return nil, err
+	}
+	if a.outbound, err = listenUDP(config.Outbound); err != nil {
+		return nil, err
+	}
+	t.Gauge("bramleyfall_flows", func() float64 { return float64(a.load().Flows) })
+	t.Gauge("bramleyfall_requests_under_way", func() float64 { return float64(a.load().Busy) })
+	return a, a.listen(control(a))
+}
+
+func (a *Agent) listen(control http.Handler) error {
+	handlers := []struct {
+		at      bramleyfall.Endpoint
+		handler http.Handler
+	}{
+		{a.config.Control, control},
+		{a.config.HTTP, a.telemetry.Handler()},
+		{a.config.Metrics, a.telemetry.Handler()},
+	}
+	for _, h := range handlers {
+		s, err := serveHTTP(h.at, h.handler, a.telemetry)
+		if err != nil {
+			return err
+		}
+		a.servers = append(a.servers, s)
+	}
+	return nil
+}
+
+func (a *Agent) load() bramleyfall.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Load(a.clock.Now())
+}
+
+// Run serves the upstream until ctx ends and no request is under way.
+func (a *Agent) Run(ctx context.Context) {
+	background, cancel := context.WithCancel(context.Background())
+	var duties conc.WaitGroup
+	duties.Go(func() { loopRead(a.tunnel, a.fromBalancer) })
+	duties.Go(func() { loopRead(a.outbound, a.fromUpstream) })
+	duties.Go(func() { loopTick(background, reportEvery, a.tick) })
+	duties.Go(func() { a.follower.Run(background) })
+	duties.Go(func() { a.announcer.Run(background) })
+	a.telemetry.Log.Info().Str("Event", "Started").Str("Domain", string(a.config.Domain)).
+		Str("Service", string(a.config.Service)).Str("Packets", a.config.Packets.String()).
+		Str("Upstream", a.config.Upstream.String()).Msg("")
+	<-ctx.Done()
+	a.leave()
+	cancel()
+	_ = a.tunnel.Close()
+	_ = a.outbound.Close()
+	for _, s := range a.servers {
+		_ = s.Close()
+	}
+	duties.Wait()
+	a.telemetry.Log.Info().Str("Event", "Stopped").Msg("")
+}
+
+// leave takes no new flows and waits for a moment without a request under way.
+func (a *Agent) leave() {
+	a.mu.Lock()
+	a.gate.Leave()
+	a.report(true)
+	gone := a.entry == nil
+	a.mu.Unlock()
+	a.telemetry.Log.Info().Str("Event", "Leaving").Bool("UpstreamGone", gone).Int("Busy", int(a.load().Busy)).Msg("")
+	started := a.clock.Now()
+	for a.load().Busy > 0 && a.clock.Now().Sub(started) < agentLinger {
+		time.Sleep(leaveCheck)
+	}
+}
+
+// number returns the number of a balancer, by which tags name it.
+func (a *Agent) number(from bramleyfall.Endpoint) uint32 {
+	n, ok := a.numbers[from]
+	if !ok {
+		if len(a.balancers) >= maxBalancers {
+			clear(a.numbers)
+			a.balancers = a.balancers[:0]
+		}
+		n = uint32(len(a.balancers))
+		a.balancers = append(a.balancers, balancer{address: from})
+		a.numbers[from] = n
+	}
+	return n
+}
+
+// askedTag marks a packet that was offered to find the owner of its flow. The
+// rest of a tag is the balancer's number plus one.
+const askedTag = 1 << 31
+
+func tagOf(number uint32, asked bool) uint32 {
+	tag := number + 1
+	if asked {
+		tag |= askedTag
+	}
+	return tag
+}
+
+// fromBalancer takes a balancer's message.
+func (a *Agent) fromBalancer(data []byte, sender netip.AddrPort) {
+	now := a.clock.Now()
+	a.counts.packets.Inc()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var m tunnel.Message
+	if err := tunnel.Decode(data, &m); err != nil {
+		a.malformed(err)
+		return
+	}
+	number := a.number(toEndpoint(sender))
+	a.balancers[number].due = true
+	if m.Version > a.gate.Version() && !now.Before(a.nextRefresh) {
+		a.nextRefresh = now.Add(refreshEvery)
+		a.follower.Refresh()
+	}
+	switch m.Kind {
+	case tunnel.Probe:
+		a.answer(number, &tunnel.Message{Kind: tunnel.Report})
+	case tunnel.Forward, tunnel.Ask:
+		if err := a.wire.Decode(m.Raw, &a.packet); err != nil {
+			a.malformed(err)
+			return
+		}
+		a.callerPacket(&m, number, now)
+	}
+}
+
+// callerPacket takes a caller's packet that a balancer forwarded.
+func (a *Agent) callerPacket(m *tunnel.Message, number uint32, now time.Time) {
+	p := &a.packet
+	asked := m.Kind == tunnel.Ask
+	action := a.gate.FromBalancer(p, admission.Offer{
+		Service: m.Service, Version: m.Version, Priority: m.Priority, Must: m.Must, Asked: asked,
+	}, now)
+	if p.Kind == bramleyfall.KindOpening {
+		a.logOpening(&action, m, number, now)
+	}
+	switch action.Kind {
+	case bramleyfall.ActionDeliver:
+		a.wire.SetTag(m.Raw, tagOf(number, asked))
+		a.write(a.outbound, m.Raw, a.config.Upstream)
+		switch {
+		case p.Kind == bramleyfall.KindOpening || !action.Opened:
+			a.claim(p.Flow, number)
+		case asked:
+			a.answer(number, &tunnel.Message{Kind: tunnel.Owned, Flow: p.Flow})
+		}
+	case bramleyfall.ActionPass:
+		a.passBack(p, number, asked, action.Code, m.Raw)
+	}
+}
+
+// claim notes that a balancer waits for word of a flow.
+func (a *Agent) claim(flow bramleyfall.Flow, number uint32) {
+	if len(a.claims) >= maxClaims {
+		clear(a.claims)
+	}
+	a.claims[flow] = number
+}
+
+// passBack tells a balancer that a packet isn't for this upstream.
+func (a *Agent) passBack(p *bramleyfall.Packet, number uint32, asked bool, code bramleyfall.ResultCode, raw []byte) {
+	if asked {
+		a.answer(number, &tunnel.Message{Kind: tunnel.NotOwned, Flow: p.Flow})
+		return
+	}
+	a.counts.passed.Inc()
+	a.answer(number, &tunnel.Message{Kind: tunnel.Return, Code: code, Raw: raw})
+}
+
+// fromUpstream takes a packet that the upstream sent or didn't take.
+func (a *Agent) fromUpstream(data []byte, _ netip.AddrPort) {
+	now := a.clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := &a.packet
+	if err := a.wire.Decode(data, p); err != nil {
+		a.malformed(err)
+		return
+	}
+	if p.Returned {
+		a.upstreamReturned(p, data, now)
+		return
+	}
+	action := a.gate.FromUpstream(p, now)
+	if action.Opened {
+		if number, ok := a.claims[action.Flow]; ok {
+			delete(a.claims, action.Flow)
+			a.answer(number, &tunnel.Message{Kind: tunnel.Owned, Flow: action.Flow})
+		}
+		a.counts.opened.Inc()
+	}
+	a.write(a.tunnel, data, bramleyfall.Endpoint{IP: p.Flow.Destination.IP, Port: a.config.Packets.Port})
+}
+
+// upstreamReturned takes a packet that the upstream didn't take.
+func (a *Agent) upstreamReturned(p *bramleyfall.Packet, data []byte, now time.Time) {
+	a.counts.returned.Inc()
+	tag := p.Tag
+	action := a.gate.Returned(p, now)
+	delete(a.claims, p.Flow)
+	a.telemetry.Decision(now).Str("Event", "UpstreamReturned").Str("Flow", p.Flow.String()).
+		Str("Reason", action.Code.String()).Int("Busy", a.gate.Busy()).Msg("")
+	number := tag&^askedTag - 1
+	if tag == 0 || int(number) >= len(a.balancers) {
+		return // it was delivered by an agent that ran before
+	}
+	a.wire.SetTag(data, 0)
+	a.passBack(p, number, tag&askedTag != 0, action.Code, data)
+}
+
+// answer sends a message with the upstream's load to a balancer.
+func (a *Agent) answer(number uint32, m *tunnel.Message) {
+	b := &a.balancers[number]
+	b.due = false
+	m.Service = a.config.Service.Key()
+	m.Version = a.gate.Version()
+	m.Load = a.gate.Load(a.clock.Now())
+	_, m.Boot = a.gate.Upstream()
+	a.buffer = tunnel.Append(a.buffer[:0], m)
+	a.write(a.tunnel, a.buffer, b.address)
+}
+
+// write sends a datagram. One that can't be sent is lost like any other; its
+// sender repeats it.
+func (a *Agent) write(conn *net.UDPConn, data []byte, to bramleyfall.Endpoint) {
+	if _, err := conn.WriteToUDPAddrPort(data, to.AddrPort()); err != nil {
+		a.telemetry.Counter("bramleyfall_send_errors_total").Inc()
+	}
+}
+
+// tick sends the reports that are due.
+func (a *Agent) tick() {
+	now := a.clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.Sweep(now)
+	a.report(a.noteState(now))
+}
+
+// report sends reports to the balancers that are due one, or to all.
+func (a *Agent) report(all bool) {
+	for n := range a.balancers {
+		if all || a.balancers[n].due {
+			a.answer(uint32(n), &tunnel.Message{Kind: tunnel.Report})
+		}
+	}
+}
+
+// noteState logs a change of the upstream's state, and reports whether there was
+// one.
+func (a *Agent) noteState(now time.Time) bool {
+	state := a.gate.State(now)
+	if state == a.state {
+		return false
+	}
+	id, boot := a.gate.Upstream()
+	a.telemetry.Log.Info().Str("Event", "UpstreamState").Str("Upstream", string(id)).Uint64("Boot", uint64(boot)).
+		Str("Before", string(a.state)).Str("State", string(state)).Int("Busy", a.gate.Busy()).Int("Flows", a.gate.Flows()).Msg("")
+	a.state = state
+	return true
+}
+
+// Heartbeat implements bramleyfall.UpstreamSink. What it says is in force before
+// it is acknowledged.
+func (a *Agent) Heartbeat(h bramleyfall.Heartbeat) {
+	now := a.clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.Service != a.config.Service {
+		a.malformed(bramleyfall.Errorf(bramleyfall.WrongService, "heartbeat of %s names service %s", h.Upstream, h.Service))
+		return
+	}
+	if !a.gate.Heartbeat(h, now) {
+		return
+	}
+	if a.noteState(now) {
+		a.report(true)
+	}
+	entry := bramleyfall.Announcement{
+		Instance: a.config.ID, Upstream: h.Upstream, Boot: h.Boot, Service: h.Service,
+		Domain: h.Domain, Packets: a.config.Packets, Slots: h.Slots,
+	}
+	if a.entry == nil || *a.entry != entry {
+		a.entry = &entry
+		a.announcer.Announce(&entry)
+	}
+}
+
+// Deregister implements bramleyfall.UpstreamSink.
+func (a *Agent) Deregister(id bramleyfall.UpstreamID) {
+	now := a.clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.gate.Left(id) {
+		return
+	}
+	a.entry = nil
+	a.announcer.Announce(nil)
+	a.report(a.noteState(now))
+}
+
+// Malformed implements bramleyfall.UpstreamSink.
+func (a *Agent) Malformed(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.malformed(err)
+}
+
+func (a *Agent) malformed(err error) {
+	a.counts.malformed.Inc()
+	if a.counts.malformed.Get()%malformedSample == 1 {
+		a.telemetry.Log.Warn().Str("Event", "Malformed").Str("Reason", err.Error()).Msg("")
+	}
+}
+
+func (a *Agent) configured(s *bramleyfall.Snapshot) {
+	a.mu.Lock()
+	a.gate.Configure(s, a.clock.Now())
+	a.mu.Unlock()
+	logConfigured(a.telemetry, s)
+}
+
+// logOpening writes the line of an opening that was admitted or passed on.
+func (a *Agent) logOpening(action *bramleyfall.Action, m *tunnel.Message, number uint32, now time.Time) {
+	if action.Kind == bramleyfall.ActionDeliver && !action.Opened {
+		return // a copy
+	}
+	load := a.gate.Load(now)
+	a.telemetry.Decision(now).Str("Event", "Admit").Str("Flow", action.Flow.String()).Str("Outcome", string(action.Kind)).
+		Str("Reason", action.Code.String()).Str("State", string(load.State)).Uint16("Busy", load.Busy).
+		Uint16("Slots", load.Slots).Bool("Must", m.Must).Uint64("Version", uint64(a.gate.Version())).
+		Str("Balancer", a.balancers[number].address.String()).Msg("")
+}
--- /dev/null
+++ b/direct/balancer.go
@@ -0,0 +1,328 @@
+package direct
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/directory"
+	"bramleyfall.example/bramleyfall/placement"
+	"bramleyfall.example/bramleyfall/telemetry"
+	"bramleyfall.example/bramleyfall/tunnel"
+)
+
+const (
+	// balancerTick is the time between two looks at openings that wait for an
+	// answer: a fraction of the time that they have.
+	balancerTick = 20 * time.Millisecond
+	// balancerLinger is the time for which a leaving balancer still forwards: the
+	// fabric takes it out of rotation after two misses of its readiness check.
+	balancerLinger = 2500 * time.Millisecond
+)
+
+// BalancerConfig holds the settings of a Balancer.
+type BalancerConfig struct {
+	ID     bramleyfall.InstanceID
+	Domain bramleyfall.DomainName
+	// Packets is where the fabric hands over the callers' packets. Callers are
+	// reached at its port.
+	Packets bramleyfall.Endpoint
+	// Tunnel is where agents answer.
+	Tunnel bramleyfall.Endpoint
+	// HTTP serves readiness, Metrics the metrics.
+	HTTP, Metrics bramleyfall.Endpoint
+}
+
+// Balancer forwards callers' packets to agents.
+type Balancer struct {
+	config    BalancerConfig
+	clock     bramleyfall.Clock
+	telemetry *telemetry.Telemetry
+	wire      bramleyfall.Wire
+	callers   *net.UDPConn
+	agents    *net.UDPConn
+	follower  *directory.Follower
+	roster    *directory.Roster
+	servers   []*http.Server
+	listed    atomic.Bool
+	leaving   atomic.Bool
+	counts    balancerCounts
+
+	// mu guards what follows: the decisions and the buffers for their messages.
+	mu          sync.Mutex
+	placer      *placement.Placer
+	packet      bramleyfall.Packet
+	message     tunnel.Message
+	buffer      []byte
+	nextRefresh time.Time
+}
+
+type balancerCounts struct {
+	packets, asked, refused, malformed, unowned *metrics.Counter
+	placing                                     *metrics.Histogram
+	loadAge                                     *metrics.Histogram
+}
+
+// NewBalancer opens the sockets of a balancer.
+func NewBalancer(config BalancerConfig, clock bramleyfall.Clock, wire bramleyfall.Wire, store bramleyfall.Store, source bramleyfall.ConfigurationSource, t *telemetry.Telemetry) (*Balancer, error) {
+	b := &Balancer{
+		config: config, clock: clock, telemetry: t, wire: wire,
+		placer: placement.New(placement.WithDomain(config.Domain)),
+		counts: balancerCounts{
+			packets:   t.Counter("bramleyfall_packets_total"),
+			asked:     t.Counter("bramleyfall_owner_lookups_total"),
+			refused:   t.Counter("bramleyfall_refused_total"),
+			malformed: t.Counter("bramleyfall_malformed_messages_total"),
+			unowned:   t.Counter("bramleyfall_flows_without_owner_total"),
+			placing:   t.Metrics.NewHistogram("bramleyfall_placing_seconds"),
+			loadAge:   t.Metrics.NewHistogram("bramleyfall_load_age_seconds"),
+		},
+	}
+	configuration := &dependency{telemetry: t, name: "Configuration"}
+	entries := &dependency{telemetry: t, name: "AgentEntries"}
+	b.follower = directory.NewFollower(source, b.configured, configuration.health)
+	b.roster = directory.NewRoster(store, b, entries.health, func() { b.listed.Store(true) })
+	var err error
+	if b.callers, err = listenUDP(config.Packets); err != nil {
+		return nil, err
+	}
+	if b.agents, err = listenUDP(config.Tunnel); err != nil {
+		return nil, err
+	}
+	t.Gauge("bramleyfall_flows", func() float64 { return float64(b.flows()) })
+	t.SetReady(b.ready)
+	return b, b.listen()
+}
+
+func (b *Balancer) listen() error {
+	for _, at := range []bramleyfall.Endpoint{b.config.HTTP, b.config.Metrics} {
+		s, err := serveHTTP(at, b.telemetry.Handler(), b.telemetry)
+		if err != nil {
+			return err
+		}
+		b.servers = append(b.servers, s)
+	}
+	return nil
+}
+
+func (b *Balancer) flows() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.placer.Flows()
+}
+
+// ready tells the fabric whether to hand packets over.
+func (b *Balancer) ready() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.leaving.Load():
+		return errors.New("leaving")
+	case !b.placer.Ready() || !b.listed.Load():
+		return errors.New("no configuration yet")
+	case b.placer.Isolated(b.clock.Now()):
+		return errors.New("no agent answers")
+	}
+	return nil
+}
+
+// Run forwards packets until ctx ends and the fabric has learned of it.
+func (b *Balancer) Run(ctx context.Context) {
+	background, cancel := context.WithCancel(context.Background())
+	var duties conc.WaitGroup
+	duties.Go(func() { loopRead(b.callers, b.fromCaller) })
+	duties.Go(func() { loopRead(b.agents, b.fromAgent) })
+	duties.Go(func() { loopTick(background, balancerTick, b.tick) })
+	duties.Go(func() { b.follower.Run(background) })
+	duties.Go(func() { b.roster.Run(background) })
+	b.telemetry.Log.Info().Str("Event", "Started").Str("Domain", string(b.config.Domain)).
+		Str("Packets", b.config.Packets.String()).Str("Tunnel", b.config.Tunnel.String()).Msg("")
+	<-ctx.Done()
+	b.leaving.Store(true)
+	b.telemetry.Log.Info().Str("Event", "Leaving").Int("Flows", b.flows()).Msg("")
+	time.Sleep(balancerLinger)
+	cancel()
+	_ = b.callers.Close()
+	_ = b.agents.Close()
+	for _, s := range b.servers {
+		_ = s.Close()
+	}
+	duties.Wait()
+	b.telemetry.Log.Info().Str("Event", "Stopped").Msg("")
+}
+
+// fromCaller takes a packet that the fabric handed over.
+func (b *Balancer) fromCaller(data []byte, _ netip.AddrPort) {
+	now := b.clock.Now()
+	b.counts.packets.Inc()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err := b.wire.Decode(data, &b.packet); err != nil {
+		b.malformed(err)
+		return
+	}
+	d := b.placer.FromCaller(&b.packet, now)
+	b.act(&d, data, now)
+	if b.packet.Kind == bramleyfall.KindOpening {
+		b.logPlaced(&d, now)
+	}
+}
+
+// fromAgent takes an agent's message.
+func (b *Balancer) fromAgent(data []byte, sender netip.AddrPort) {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var m tunnel.Message
+	if err := tunnel.Decode(data, &m); err != nil {
+		b.malformed(err)
+		return
+	}
+	from := toEndpoint(sender)
+	if b.placer.Report(from, m.Service, m.Load, now) {
+		b.telemetry.Log.Info().Str("Event", "UpstreamState").Str("Agent", string(b.placer.Instance(from))).
+			Str("State", string(m.Load.State)).Uint16("Busy", m.Load.Busy).Uint16("Slots", m.Load.Slots).Msg("")
+	}
+	if m.Version > b.placer.Version() && !now.Before(b.nextRefresh) {
+		b.nextRefresh = now.Add(refreshEvery)
+		b.follower.Refresh()
+	}
+	switch m.Kind {
+	case tunnel.Return:
+		b.returned(&m, from, now)
+	case tunnel.Owned:
+		b.placer.Owned(m.Flow, from, now)
+	case tunnel.NotOwned:
+		d := b.placer.NotOwned(m.Flow, from, now)
+		if d.Kind == bramleyfall.ActionRefuse {
+			b.counts.unowned.Inc()
+			b.logPlaced(&d, now)
+		}
+		b.act(&d, nil, now)
+	}
+}
+
+func (b *Balancer) returned(m *tunnel.Message, from bramleyfall.Endpoint, now time.Time) {
+	if err := b.wire.Decode(m.Raw, &b.packet); err != nil {
+		b.malformed(err)
+		return
+	}
+	d := b.placer.Returned(&b.packet, from, m.Code, now)
+	b.telemetry.Decision(now).Str("Event", "Returned").Str("Flow", b.packet.Flow.String()).
+		Str("Agent", string(b.placer.Instance(from))).Str("Reason", m.Code.String()).
+		Str("Outcome", string(d.Kind)).Str("Next", string(d.Instance)).Msg("")
+	b.act(&d, m.Raw, now)
+}
+
+// tick places openings again that no agent answered for, and probes agents.
+func (b *Balancer) tick() {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.placer.Tick(now, func(d placement.Decision) {
+		b.logPlaced(&d, now)
+		b.act(&d, d.Raw, now)
+	})
+	for _, target := range b.placer.Probes(now) {
+		b.send(&tunnel.Message{Kind: tunnel.Probe, Service: target.Service, Version: b.placer.Version()}, target.Address)
+	}
+}
+
+// act carries out a decision on a packet.
+func (b *Balancer) act(d *placement.Decision, raw []byte, now time.Time) {
+	switch d.Kind {
+	case bramleyfall.ActionPass:
+		kind := tunnel.Forward
+		if d.Ask {
+			kind = tunnel.Ask
+			b.counts.asked.Inc()
+		}
+		for _, target := range d.Targets {
+			b.message = tunnel.Message{
+				Kind: kind, Must: d.Must, Version: b.placer.Version(), Service: target.Service, Priority: d.Priority, Raw: raw,
+			}
+			b.send(&b.message, target.Address)
+		}
+		if d.Raw != nil {
+			b.counts.loadAge.Update(d.LoadAge.Seconds())
+			b.counts.placing.Update(b.clock.Now().Sub(now).Seconds())
+		}
+	case bramleyfall.ActionRefuse:
+		b.counts.refused.Inc()
+		b.buffer = b.wire.AppendReset(b.buffer[:0], d.Reset)
+		caller := bramleyfall.Endpoint{IP: d.Flow.Source.IP, Port: b.config.Packets.Port}
+		b.write(b.callers, caller)
+	}
+}
+
+func (b *Balancer) send(m *tunnel.Message, to bramleyfall.Endpoint) {
+	b.buffer = tunnel.Append(b.buffer[:0], m)
+	b.write(b.agents, to)
+}
+
+// write sends the buffer. A datagram that can't be sent is lost like any other;
+// its sender repeats it.
+func (b *Balancer) write(conn *net.UDPConn, to bramleyfall.Endpoint) {
+	if _, err := conn.WriteToUDPAddrPort(b.buffer, to.AddrPort()); err != nil {
+		b.telemetry.Counter("bramleyfall_send_errors_total").Inc()
+	}
+}
+
+// logPlaced writes the line of an opening that was placed or refused.
+func (b *Balancer) logPlaced(d *placement.Decision, now time.Time) {
+	e := b.telemetry.Decision(now).Str("Event", "Place").Str("Flow", d.Flow.String()).
+		Str("Outcome", string(d.Kind)).Str("Reason", d.Code.String()).Uint64("Version", uint64(b.placer.Version()))
+	if d.Instance != "" {
+		e = e.Str("Agent", string(d.Instance)).Uint16("Busy", d.Load.Busy).Uint16("Slots", d.Load.Slots).
+			Uint16("Utilization", d.Load.Utilization).Dur("LoadAge", d.LoadAge).Bool("Must", d.Must)
+	}
+	e.Msg("")
+}
+
+func (b *Balancer) malformed(err error) {
+	b.counts.malformed.Inc()
+	if b.counts.malformed.Get()%malformedSample == 1 {
+		b.telemetry.Log.Warn().Str("Event", "Malformed").Str("Reason", err.Error()).Msg("")
+	}
+}
+
+func (b *Balancer) configured(s *bramleyfall.Snapshot) {
+	b.mu.Lock()
+	b.placer.Configure(s)
+	b.mu.Unlock()
+	logConfigured(b.telemetry, s)
+}
+
+func logConfigured(t *telemetry.Telemetry, s *bramleyfall.Snapshot) {
+	t.Log.Info().Str("Event", "Configured").Uint64("Version", uint64(s.Version)).
+		Uint64("Revision", uint64(s.Revision)).Int("Routes", len(s.Routes)).Int("DomainsOut", len(s.Out)).Msg("")
+}
+
+// Announce implements directory.Members.
+func (b *Balancer) Announce(a bramleyfall.Announcement) {
+	b.mu.Lock()
+	b.placer.Announce(a)
+	b.mu.Unlock()
+	b.telemetry.Log.Info().Str("Event", "AgentListed").Str("Agent", string(a.Instance)).Str("Service", string(a.Service)).
+		Str("Upstream", string(a.Upstream)).Uint64("Boot", uint64(a.Boot)).Msg("")
+}
+
+// Unlist implements directory.Members.
+func (b *Balancer) Unlist(instance bramleyfall.InstanceID) {
+	b.mu.Lock()
+	b.placer.Unlist(instance, b.clock.Now())
+	b.mu.Unlock()
+	b.telemetry.Log.Info().Str("Event", "AgentUnlisted").Str("Agent", string(instance)).Msg("")
+}
+
+// Malformed implements directory.Members.
+func (b *Balancer) Malformed(err error) { b.malformed(err) }
--- /dev/null
+++ b/directory/follow.go
@@ -0,0 +1,147 @@
+// Package directory keeps a process up to date with the store: the operators'
+// configuration, the agents' entries, and an agent's own entry under a lease.
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"bramleyfall.example/bramleyfall"
+)
+
+const (
+	// watchWait is the longest wait of a watch. A connection that went silent is
+	// found by keep-alive probes sooner; this bounds what they miss.
+	watchWait = 8 * time.Second
+	// firstRetry and lastRetry bound the pauses between calls that failed. The
+	// last one leaves a store that turned calls away two tries a second.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 500 * time.Millisecond
+)
+
+func newRetry() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstRetry
+	b.MaxInterval = lastRetry
+	return b
+}
+
+// sleep waits for d, or until ctx ends or wake has something.
+func sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-timer.C:
+	}
+}
+
+// Dependency tells whether the store answers.
+type Dependency func(err error)
+
+// Follower keeps the operators' configuration up to date.
+type Follower struct {
+	source  bramleyfall.ConfigurationSource
+	changed func(*bramleyfall.Snapshot)
+	health  Dependency
+	stale   chan struct{}
+	known   *bramleyfall.Snapshot
+}
+
+// NewFollower returns a follower that hands each configuration to changed.
+func NewFollower(source bramleyfall.ConfigurationSource, changed func(*bramleyfall.Snapshot), health Dependency) *Follower {
+	return &Follower{source: source, changed: changed, health: health, stale: make(chan struct{}, 1)}
+}
+
+// Refresh has the configuration read again, because a peer knows a newer one.
+func (f *Follower) Refresh() {
+	select {
+	case f.stale <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the configuration until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	retry := newRetry()
+	for ctx.Err() == nil {
+		err := f.follow(ctx, retry)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, bramleyfall.ErrHistoryLost) || errors.Is(err, errStale) {
+			continue
+		}
+		f.health(err)
+		sleep(ctx, retry.NextBackOff(), nil)
+	}
+}
+
+// errStale ends a watch because a peer knows a newer configuration.
+var errStale = errors.New("a peer knows a newer configuration")
+
+// follow reads the configuration and watches it until a call fails.
+func (f *Follower) follow(ctx context.Context, retry *backoff.ExponentialBackOff) error {
+	s, err := f.source.Read(ctx)
+	if err != nil {
+		return err
+	}
+	f.take(s)
+	for {
+		f.health(nil)
+		retry.Reset()
+		next, err := f.next(ctx, s)
+		if err != nil {
+			return err
+		}
+		if next.Version != s.Version || len(next.Out) != len(s.Out) || !sameOut(next, s) {
+			f.take(next)
+		}
+		s = next
+	}
+}
+
+func sameOut(a, b *bramleyfall.Snapshot) bool {
+	for domain := range a.Out {
+		if !b.Out[domain] {
+			return false
+		}
+	}
+	return true
+}
+
+// next waits for a change, or until a peer is known to have a newer one.
+func (f *Follower) next(ctx context.Context, s *bramleyfall.Snapshot) (*bramleyfall.Snapshot, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	defer close(done)
+	go f.loopStale(done, cancel)
+	next, err := f.source.Next(ctx, s, watchWait)
+	if err != nil && errors.Is(context.Cause(ctx), errStale) {
+		return nil, errStale
+	}
+	return next, err
+}
+
+func (f *Follower) loopStale(done <-chan struct{}, cancel context.CancelCauseFunc) {
+	select {
+	case <-done:
+	case <-f.stale:
+		cancel(errStale)
+	}
+}
+
+// take hands a configuration on. One that is older than what was in force is
+// left out: versions never go back.
+func (f *Follower) take(s *bramleyfall.Snapshot) {
+	if f.known != nil && s.Version < f.known.Version {
+		return
+	}
+	f.known = s
+	f.changed(s)
+}
--- a/operator/service.go
+++ b/operator/service.go
@@ -9,8 +9,8 @@
 	"github.com/twitchtv/twirp"
 
 	"bramleyfall.example/bramleyfall"
-	"bramleyfall.example/bramleyfall/operator/operatorpb"
 	"bramleyfall.example/bramleyfall/etcd"
+	"bramleyfall.example/bramleyfall/operator/operatorpb"
 )
 
 // submitTimeout bounds the time for which a change is offered to the platform.
--- a/packet.go
+++ b/packet.go
@@ -87,7 +87,14 @@
 	Ack      uint32
 	// Length is the number of payload bytes after the transport header.
 	Length uint32
-	Raw    []byte `json:"-"`
+	// Repeat counts how often the caller has sent this opening before, where the
+	// protocol tells.
+	Repeat uint32 `json:",omitempty"`
+	// Returned is set on a packet that an upstream did not take. Tag is the mark
+	// that it was delivered with.
+	Returned bool   `json:",omitempty"`
+	Tag      uint32 `json:",omitempty"`
+	Raw      []byte `json:"-"`
 }
 
 // End returns the sequence number that follows the packet.
--- /dev/null
+++ b/placement/upstream.go
@@ -0,0 +1,175 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"bramleyfall.example/bramleyfall"
+)
+
+// upstream is what the balancer knows of an upstream and the agent beside it.
+type upstream struct {
+	bramleyfall.Announcement
+	load   bramleyfall.Load
+	loadAt time.Time
+	// placed counts the openings that were sent since the load was told.
+	placed int
+	// sentSince is when the first message was sent that the agent hasn't
+	// followed with one of its own, or zero.
+	sentSince time.Time
+	// unlistedAt is when its entry vanished from the store, or zero.
+	unlistedAt time.Time
+	lastProbe  time.Time
+	// foreign is set when the agent says that it serves another service.
+	foreign bool
+}
+
+func (u *upstream) target() Target { return Target{Address: u.Packets, Service: u.Service.Key()} }
+
+func (u *upstream) sent(now time.Time) {
+	if u.sentSince.IsZero() {
+		u.sentSince = now
+	}
+}
+
+// silent reports whether the agent leaves messages unanswered.
+func (u *upstream) silent(after time.Duration, now time.Time) bool {
+	return !u.sentSince.IsZero() && now.Sub(u.sentSince) > after
+}
+
+// gone reports whether an agent without an entry in the store is to be
+// forgotten.
+func (u *upstream) gone(c *Config, now time.Time) bool {
+	if u.unlistedAt.IsZero() {
+		return false
+	}
+	return u.silent(c.SilentAfter, now) || now.Sub(u.loadAt) > c.UnlistedFor
+}
+
+// takes reports whether the upstream is offered openings.
+func (u *upstream) takes(c *Config, now time.Time) bool {
+	if u.foreign || u.silent(c.SilentAfter, now) {
+		return false
+	}
+	if !u.unlistedAt.IsZero() && now.Sub(u.loadAt) > 2*c.SilentAfter {
+		return false
+	}
+	switch u.load.State {
+	case bramleyfall.UpstreamDraining, bramleyfall.UpstreamSilent, bramleyfall.UpstreamUnknown:
+		return false
+	}
+	return true
+}
+
+// loadAge is the time for which a load counts.
+const loadAge = time.Second
+
+// unknownUse is the use that an upstream of unknown load is taken to have.
+const unknownUse = 0.4
+
+// use returns the share of slots in use, averaged and at the moment, with the
+// openings that were placed since.
+func (u *upstream) use(now time.Time) float64 {
+	slots := float64(max(1, u.Slots))
+	placed := float64(u.placed) / slots
+	if now.Sub(u.loadAt) > loadAge {
+		return unknownUse + placed/2
+	}
+	mean := float64(u.load.Utilization) / 1000
+	return (mean + float64(u.load.Busy)/slots + placed) / 2
+}
+
+// full reports whether all slots are believed to be taken.
+func (u *upstream) full(now time.Time) bool {
+	return now.Sub(u.loadAt) <= loadAge && int(u.load.Busy)+u.placed >= max(1, u.Slots)
+}
+
+// Announce takes an agent's entry in the store.
+func (p *Placer) Announce(a bramleyfall.Announcement) {
+	u := p.upstreams[a.Packets]
+	if u != nil && u.Announcement == a {
+		u.unlistedAt = time.Time{}
+		return
+	}
+	if u != nil {
+		p.drop(u)
+	}
+	next := &upstream{Announcement: a, load: bramleyfall.Load{State: bramleyfall.UpstreamReady}}
+	if u != nil && u.Service == a.Service && u.Instance == a.Instance {
+		// The same agent announces another run of its upstream.
+		*next = *u
+		next.Announcement, next.unlistedAt, next.foreign = a, time.Time{}, false
+		for _, f := range p.flows {
+			if f.owner == u {
+				f.owner = next
+			}
+		}
+	}
+	p.upstreams[a.Packets] = next
+	p.services[a.Service] = append(p.services[a.Service], next)
+}
+
+// Unlist notes that an agent's entry is no longer in the store.
+func (p *Placer) Unlist(instance bramleyfall.InstanceID, now time.Time) {
+	for _, u := range p.upstreams {
+		if u.Instance == instance && u.unlistedAt.IsZero() {
+			u.unlistedAt = now
+			u.sent(now) // it is probed, and forgotten if it doesn't answer
+		}
+	}
+}
+
+// drop forgets an upstream.
+func (p *Placer) drop(u *upstream) {
+	delete(p.upstreams, u.Packets)
+	p.services[u.Service] = slices.DeleteFunc(p.services[u.Service], func(x *upstream) bool { return x == u })
+}
+
+// Report takes what an agent says of the upstream of a service. It reports
+// whether the state is news.
+func (p *Placer) Report(from bramleyfall.Endpoint, service bramleyfall.ServiceKey, load bramleyfall.Load, now time.Time) bool {
+	u := p.upstreams[from]
+	if u == nil {
+		return false
+	}
+	news := u.load.State != load.State
+	u.foreign = service != u.Service.Key()
+	u.load, u.loadAt, u.placed = load, now, 0
+	u.sentSince = time.Time{}
+	return news
+}
+
+// Instance returns the agent at an address, or an empty id.
+func (p *Placer) Instance(address bramleyfall.Endpoint) bramleyfall.InstanceID {
+	if u := p.upstreams[address]; u != nil {
+		return u.Instance
+	}
+	return ""
+}
+
+// Upstreams returns the number of agents that are known.
+func (p *Placer) Upstreams() int { return len(p.upstreams) }
+
+// Probes returns the silent agents that are to be asked for a report.
+func (p *Placer) Probes(now time.Time) []Target {
+	p.targets = p.targets[:0]
+	for _, u := range p.upstreams {
+		due := u.silent(p.config.ProbeEvery, now) || !u.unlistedAt.IsZero()
+		if due && now.Sub(u.lastProbe) >= p.config.ProbeEvery {
+			u.lastProbe = now
+			p.targets = append(p.targets, u.target())
+		}
+	}
+	return p.targets
+}
+
+// Isolated reports whether no agent answers, so that the balancer is better left
+// out. One that knows no agent serves nobody but isn't cut off.
+func (p *Placer) Isolated(now time.Time) bool {
+	for _, u := range p.upstreams {
+		if !u.silent(p.config.SilentAfter, now) {
+			return false
+		}
+	}
+	return len(p.upstreams) > 0
+}
--- a/result.go
+++ b/result.go
@@ -47,6 +47,9 @@
 	PlatformRolledBack ResultCode = 402
 	PeerAway           ResultCode = 404
 	BadSeal            ResultCode = 405
+	HistoryLost        ResultCode = 406
+	LeaseLost          ResultCode = 407
+	MalformedMessage   ResultCode = 408
 
 	BadSetting   ResultCode = 501
 	BadStatement ResultCode = 502
@@ -67,6 +70,7 @@
 	Unknown: "Unknown", NoService: "NoService", Unsafe: "Unsafe",
 	PlatformAway: "PlatformAway", PlatformRolledBack: "PlatformRolledBack",
 	PeerAway: "PeerAway", BadSeal: "BadSeal",
+	HistoryLost: "HistoryLost", LeaseLost: "LeaseLost", MalformedMessage: "MalformedMessage",
 	BadSetting: "BadSetting", BadStatement: "BadStatement", BadTrace: "BadTrace", Mismatch: "Mismatch",
 }
 
@@ -113,3 +117,10 @@
 // ErrUnknownOutcome is returned by Platform.Commit when the answer was lost:
 // the write may or may not have taken effect.
 var ErrUnknownOutcome error = &Error{Code: Unknown, Message: "the platform's answer was lost"}
+
+// ErrHistoryLost is returned by a watch when the changes after its revision
+// are no longer kept: everything is to be read again.
+var ErrHistoryLost error = &Error{Code: HistoryLost, Message: "the store has dropped the history"}
+
+// ErrLeaseLost is returned when a lease has ended.
+var ErrLeaseLost error = &Error{Code: LeaseLost, Message: "the lease has ended"}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,6 +40,7 @@
 	version bool
 	faults  []string
 	out     io.Writer
+	options []ff.Option
 }
 
 // New returns the set of a program. Each flag can be set as an environment
@@ -57,7 +58,8 @@
 // Parse reads args and the environment. It returns ErrDone after --help and
 // --version.
 func (s *Set) Parse(args []string) error {
-	err := ff.Parse(s.FlagSet, args, ff.WithEnvVarPrefix("BRAMLEYFALL"))
+	options := append([]ff.Option{ff.WithEnvVarPrefix("BRAMLEYFALL")}, s.options...)
+	err := ff.Parse(s.FlagSet, args, options...)
 	switch {
 	case errors.Is(err, flag.ErrHelp):
 		s.usage()
@@ -91,6 +93,13 @@
 	return info.Main.Version
 }
 
+// File adds the flag --settings: a file with a line "name value" for each other
+// flag. Flags and environment variables go before it.
+func (s *Set) File() {
+	_ = s.String("settings", "", "file with a line \"name value\" for each of the other flags")
+	s.options = append(s.options, ff.WithConfigFileFlag("settings"), ff.WithConfigFileParser(ff.PlainParser))
+}
+
 // Fault notes that the value of a flag is wrong.
 func (s *Set) Fault(name, format string, args ...any) {
 	s.faults = append(s.faults, "--"+name+": "+fmt.Sprintf(format, args...))
--- a/slopes/control.go
+++ b/slopes/control.go
@@ -10,9 +10,9 @@
 
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/configuration"
+	"bramleyfall.example/bramleyfall/etcd"
 	"bramleyfall.example/bramleyfall/peer"
 	"bramleyfall.example/bramleyfall/peer/peerpb"
-	"bramleyfall.example/bramleyfall/etcd"
 	"bramleyfall.example/bramleyfall/virtual"
 	"bramleyfall.example/bramleyfall/workload"
 )
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -26,6 +26,7 @@
 	Metrics *metrics.Set
 	writer  *countingWriter
 	ready   func() error
+	budget  lineBudget
 }
 
 // countingWriter counts the lines that its queue had no room for.
@@ -67,9 +68,19 @@
 		Metrics: set,
 		writer:  w,
 		ready:   func() error { return nil },
+		budget:  lineBudget{suppressed: set.NewCounter("bramleyfall_log_lines_suppressed_total")},
 	}
 }
 
+// Decision starts the line of a decision on a request. Lines beyond the budget
+// of a second are left out and counted, so that load doesn't turn into logs.
+func (t *Telemetry) Decision(now time.Time) *log.Entry {
+	if !t.budget.take(now) {
+		return nil // a nil entry writes nothing
+	}
+	return t.Log.Info()
+}
+
 // formatLine writes a log entry as key=value pairs, quoted where they need it.
 func formatLine(out io.Writer, args *log.FormatterArgs) (int, error) {
 	line := append(make([]byte, 0, 256), "Time="...)
@@ -123,3 +134,18 @@
 
 // Stdout returns the writer that programs log to.
 func Stdout() io.Writer { return os.Stdout }
+
+// StoreCall counts a call to the platform's store and the time that it took.
+// The path is left out: its parameters would make a series of each call.
+func (t *Telemetry) StoreCall(call string, took time.Duration, err error) {
+	name, _, _ := strings.Cut(call, "?")
+	if slash := strings.LastIndexByte(name, '/'); slash > strings.IndexByte(name, '/') {
+		name = name[:slash]
+	}
+	outcome := "answered"
+	if err != nil {
+		outcome = "failed"
+	}
+	t.Counter(`bramleyfall_store_calls_total{call="` + name + `",outcome="` + outcome + `"}`).Inc()
+	t.Metrics.GetOrCreateHistogram(`bramleyfall_store_call_seconds{call="` + name + `"}`).Update(took.Seconds())
+}
