Count each agent's denial of a flow once

Cause: a balancer reset an open flow although its upstream served. Two packets of the flow were looked up before the owner's answer from another failure domain arrived, and the six other agents' answers to both counted as twelve of the seven that were awaited. Ruled out: an owner that denied its flow; its agent answered Owned. TestDenialsCountOncePerAgent failed before. Conclusion: a reset needs a denial of each agent that was asked.

--- a/placement/placer.go
+++ b/placement/placer.go
@@ -6,6 +6,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"bramleyfall.example/bramleyfall"
@@ -111,9 +112,10 @@
 	must    bool
 	// ack is the caller's last acknowledgement.
 	ack uint32
-	// asked counts the agents that were asked for the flow and haven't answered
-	// or have denied it; denied those that have.
-	asked, denied int
+	// asked counts the agents that were asked for the flow; denied holds those
+	// that have said since that they don't hold it.
+	asked  int
+	denied []bramleyfall.Endpoint
 }
 
 // attempt is an offer of an opening that failed.
@@ -231,7 +233,7 @@
 	for _, name := range p.former[route.Address] {
 		p.askService(name, now)
 	}
-	f.asked, f.denied = len(p.targets), 0
+	f.asked, f.denied = len(p.targets), f.denied[:0]
 	if len(p.targets) == 0 {
 		return Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoUpstream, Flow: flow}
 	}
@@ -283,8 +285,10 @@
 	if f.owner != nil && f.owner.Packets == from {
 		f.owner = nil
 	}
-	f.denied++
-	if f.denied < f.asked || f.owner != nil {
+	if !slices.Contains(f.denied, from) {
+		f.denied = append(f.denied, from)
+	}
+	if len(f.denied) < f.asked || f.owner != nil {
 		return none
 	}
 	ack := f.ack
--- /dev/null
+++ b/placement/placer_test.go
@@ -0,0 +1,112 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/placement"
+)
+
+const (
+	railbook bramleyfall.ServiceName = "railbook"
+	drawhub  bramleyfall.ServiceName = "drawhub"
+)
+
+var (
+	start   = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	address = bramleyfall.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443}
+)
+
+// world is a placer among agents.
+type world struct {
+	*placement.Placer
+	now time.Time
+}
+
+// newWorld returns a placer in Ikeja before count agents of railbook, spread
+// over three failure domains, each with two slots.
+func newWorld(count int) *world {
+	w := &world{Placer: placement.New(placement.WithDomain("Ikeja")), now: start}
+	w.Configure(snapshot(1, railbook))
+	domains := []bramleyfall.DomainName{"Ikeja", "Ibadan", "Ife"}
+	for n := range count {
+		w.Announce(bramleyfall.Announcement{
+			Instance: bramleyfall.InstanceID(fmt.Sprintf("agent-%d", n)), Boot: 1, Service: railbook,
+			Domain: domains[n%len(domains)], Packets: agent(n), Slots: 2,
+		})
+	}
+	return w
+}
+
+func agent(n int) bramleyfall.Endpoint {
+	return bramleyfall.Endpoint{IP: [4]byte{10, 0, 0, byte(n + 1)}, Port: 8172}
+}
+
+func snapshot(version bramleyfall.ConfigVersion, services ...bramleyfall.ServiceName) *bramleyfall.Snapshot {
+	route := &bramleyfall.Route{Address: address, Priority: 1}
+	for _, name := range services {
+		route.Targets = append(route.Targets, bramleyfall.Target{Service: name, Weight: 1})
+	}
+	return &bramleyfall.Snapshot{
+		Version: version, Routes: map[bramleyfall.Endpoint]*bramleyfall.Route{address: route},
+		Out: map[bramleyfall.DomainName]bool{}, IdleTimeout: 15 * time.Second,
+	}
+}
+
+func flowOf(n int) bramleyfall.Flow {
+	return bramleyfall.Flow{
+		Source:      bramleyfall.Endpoint{IP: [4]byte{100, 64, 0, byte(n >> 8)}, Port: uint16(1024 + n&0xff)},
+		Destination: address, Protocol: bramleyfall.TCP,
+	}
+}
+
+func opening(n int) *bramleyfall.Packet {
+	return &bramleyfall.Packet{Flow: flowOf(n), Kind: bramleyfall.KindOpening, Sequence: uint32(n), Raw: []byte("opening")}
+}
+
+func data(n int) *bramleyfall.Packet {
+	return &bramleyfall.Packet{Flow: flowOf(n), Kind: bramleyfall.KindData, HasAck: true, Ack: 7000, Length: 10, Raw: []byte("data")}
+}
+
+func (w *world) report(n int, load bramleyfall.Load) {
+	w.Report(agent(n), railbook.Key(), load, w.now)
+}
+
+func ready(busy, utilization uint16) bramleyfall.Load {
+	return bramleyfall.Load{State: bramleyfall.UpstreamReady, Slots: 2, Busy: busy, Utilization: utilization}
+}
+
+func TestOwnerIsAskedForOnceAndThenRemembered(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(7)
+	d := w.FromCaller(data(1), w.now)
+	is.Equal(d.Kind, bramleyfall.ActionPass)
+	is.True(d.Ask)
+	is.Equal(len(d.Targets), 7) // all that may hold the flow
+	w.Owned(flowOf(1), agent(4), w.now)
+	d = w.FromCaller(data(1), w.now)
+	is.True(!d.Ask)
+	is.Equal(d.Targets[0].Address, agent(4))
+}
+
+// Two packets of one flow are looked up while the owner's answer is still on its
+// way: the others answer each of them.
+func TestDenialsCountOncePerAgent(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(7)
+	w.FromCaller(data(1), w.now)
+	w.FromCaller(data(1), w.now)
+	for range 2 {
+		for n := range 6 {
+			d := w.NotOwned(flowOf(1), agent(n), w.now)
+			is.Equal(d.Kind, bramleyfall.ActionDrop) // the seventh hasn't answered
+		}
+	}
+	d := w.NotOwned(flowOf(1), agent(6), w.now)
+	is.Equal(d.Kind, bramleyfall.ActionRefuse)
+	is.Equal(d.Reset.Sequence, uint32(7000)) // within the caller's window
+}
