--- a/admission/opening.go
+++ b/admission/opening.go
@@ -51,7 +51,7 @@
 	case bramleyfall.UpstreamDraining:
 		return bramleyfall.NotRunDraining
 	case bramleyfall.UpstreamCold:
-		if g.cold.count(now) >= coldLimit(limits.ColdRate) {
+		if limits.ColdRate > 0 && g.cold.count(now) >= coldLimit(limits.ColdRate) {
 			return bramleyfall.NotRunWarmUp
 		}
 	}
