Ask all agents for a flow without owner before resetting it

Ruled out: a late answer of the owner; it was never asked. Where there are more than 64 agents only the route's are asked, and no reset follows.

--- a/placement/placer.go
+++ b/placement/placer.go
@@ -33,6 +33,10 @@
 	// UnlistedFor is how long an agent whose entry was removed from the store is
 	// kept while it still answers: its lease may have lapsed in an outage.
 	UnlistedFor time.Duration
+	// MaxAsked is the number of agents up to which all are asked for a flow
+	// without a known owner. Where there are more, only those of the route's
+	// services are.
+	MaxAsked int
 	// MaxTries is the number of upstreams that an opening is offered to.
 	MaxTries int
 }
@@ -46,6 +50,7 @@
 		SilentAfter:   500 * time.Millisecond,
 		ProbeEvery:    250 * time.Millisecond,
 		UnlistedFor:   20 * time.Second,
+		MaxAsked:      64,
 		MaxTries:      5,
 	}
 }
@@ -227,11 +232,17 @@
 // they do.
 func (p *Placer) ask(flow bramleyfall.Flow, f *placed, route *bramleyfall.Route, now time.Time) Decision {
 	p.targets = p.targets[:0]
-	for _, t := range route.Targets {
-		p.askService(t.Service, now)
-	}
-	for _, name := range p.former[route.Address] {
-		p.askService(name, now)
+	if len(p.upstreams) <= p.config.MaxAsked {
+		for _, upstreams := range p.services {
+			p.askEach(upstreams, now)
+		}
+	} else {
+		for _, t := range route.Targets {
+			p.askEach(p.services[t.Service], now)
+		}
+		for _, name := range p.former[route.Address] {
+			p.askEach(p.services[name], now)
+		}
 	}
 	f.asked, f.denied = len(p.targets), f.denied[:0]
 	if len(p.targets) == 0 {
@@ -240,8 +251,8 @@
 	return Decision{Kind: bramleyfall.ActionPass, Code: bramleyfall.NoOwner, Flow: flow, Targets: p.targets, Ask: true}
 }
 
-func (p *Placer) askService(name bramleyfall.ServiceName, now time.Time) {
-	for _, u := range p.services[name] {
+func (p *Placer) askEach(upstreams []*upstream, now time.Time) {
+	for _, u := range upstreams {
 		u.sent(now)
 		p.targets = append(p.targets, u.target())
 	}
@@ -274,8 +285,8 @@
 }
 
 // NotOwned notes that an agent's upstream doesn't hold a flow. When all agents
-// that may hold it have said so, its upstream is gone and the caller is told at
-// once, so that it can open another.
+// have said so, its upstream is gone and the caller is told at once, so that it
+// can open another.
 func (p *Placer) NotOwned(flow bramleyfall.Flow, from bramleyfall.Endpoint, _ time.Time) Decision {
 	f := p.flows[flow]
 	none := Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoOwner, Flow: flow}
@@ -288,7 +299,7 @@
 	if !slices.Contains(f.denied, from) {
 		f.denied = append(f.denied, from)
 	}
-	if len(f.denied) < f.asked || f.owner != nil {
+	if len(f.denied) < max(f.asked, len(p.upstreams)) || f.owner != nil {
 		return none
 	}
 	ack := f.ack
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -110,3 +110,33 @@
 	is.Equal(d.Kind, bramleyfall.ActionRefuse)
 	is.Equal(d.Reset.Sequence, uint32(7000)) // within the caller's window
 }
+
+// A balancer that joined after a change of a route doesn't know where the
+// route's flows went before.
+func TestFlowsOfAFormerTargetAreFound(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3) // its only configuration sends the route to railbook
+	w.Announce(bramleyfall.Announcement{Instance: "drawhub-1", Service: drawhub, Packets: agent(9), Slots: 2})
+	d := w.FromCaller(data(1), w.now)
+	is.Equal(len(d.Targets), 4)
+	for n := range 3 {
+		is.Equal(w.NotOwned(flowOf(1), agent(n), w.now).Kind, bramleyfall.ActionDrop)
+	}
+}
+
+// Where not all agents can be asked, a flow that none of those asked holds may
+// still be open.
+func TestNoResetWithoutAskingAll(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(40)
+	for n := range 40 {
+		w.Announce(bramleyfall.Announcement{
+			Instance: bramleyfall.InstanceID(fmt.Sprintf("drawhub-%d", n)), Service: drawhub, Packets: agent(100 + n), Slots: 2,
+		})
+	}
+	d := w.FromCaller(data(1), w.now)
+	is.Equal(len(d.Targets), 40) // those of the route's service
+	for n := range 40 {
+		is.Equal(w.NotOwned(flowOf(1), agent(n), w.now).Kind, bramleyfall.ActionDrop)
+	}
+}
