Let openings queue by their objective, and tell callers of lost upstreams

The queue is now as long as half of the route's objective allows at the measured time of the work, three quarters of it for the less important priorities. Cause of the second: callers learned that their upstream had ended only when they sent the next request; an order sent into such a flow is lost. The agent now resets the flows of an ended run when a new one reports, and those of one that is away for three heartbeats. Ruled out: slow starts (all were configured 0.2 s after power came back). TestWaveAboveCapacity and TestCallersLearnThatTheirUpstreamEnded failed before.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -20,9 +20,12 @@
 	// MissedHeartbeats is the number of heartbeats in a row without which the
 	// upstream counts as away.
 	MissedHeartbeats int
-	// QueuePerSlot is the number of requests that may wait for each slot when no
-	// other upstream takes an opening.
+	// QueuePerSlot bounds the requests that may wait for each slot when no other
+	// upstream takes an opening: upstreams queue a few themselves.
 	QueuePerSlot float64
+	// QueueShare is the share of the objective that a request may spend waiting
+	// for a slot.
+	QueueShare float64
 	// OpeningWithin and RequestWithin are the times without any packet of the
 	// upstream after which it counts as silent, from an opening and from a
 	// request on.
@@ -37,7 +40,8 @@
 	return Config{
 		HeartbeatEvery:   time.Second,
 		MissedHeartbeats: 3, // one may be lost, one may be late
-		QueuePerSlot:     1.5,
+		QueuePerSlot:     4,
+		QueueShare:       0.5,
 		OpeningWithin:    150 * time.Millisecond, // an upstream answers an opening within a millisecond
 		RequestWithin:    time.Second,            // it answers a request after its work, which may be slow
 		Reserve:          100 * time.Millisecond, // several round trips to a caller
@@ -62,6 +66,7 @@
 	upstream upstream
 	cold     window
 	use      meter
+	work     workTime
 	// live counts flows that are not closed, busy those with a request under way.
 	live, busy int
 	leaving    bool
@@ -77,7 +82,12 @@
 	// opening is the sequence number of the caller's SYN.
 	opening uint32
 	lastUse time.Time
+	// ack is the caller's last acknowledgement.
+	ack     uint32
 	waiting bool
+	// asked is when the request under way was delivered, where none waited for a
+	// slot then; zero otherwise.
+	asked time.Time
 }
 
 // New returns the gate of an upstream that hasn't been heard of yet.
@@ -140,6 +150,8 @@
 	Service  bramleyfall.ServiceKey
 	Version  bramleyfall.ConfigVersion
 	Priority bramleyfall.Priority
+	// Objective is the time within which callers want their answers, or zero.
+	Objective time.Duration
 	// Must is set when all other upstreams have refused the opening.
 	Must bool
 	// Asked is set on a packet whose owner the balancer is looking for.
@@ -164,8 +176,12 @@
 		g.fire(f, g.chart.Acknowledged, now)
 	}
 	f.lastUse = now
+	f.ack = p.Ack
 	if p.Length > 0 && f.state != g.chart.Closed {
 		g.setWaiting(f, true, now)
+		if g.busy <= g.upstream.slots {
+			f.asked = now
+		}
 		g.upstream.delivered(&g.upstream.requestSince, now)
 	}
 	switch p.Kind {
@@ -233,6 +249,8 @@
 	}
 	if p.Length > 0 {
 		g.setWaiting(f, false, now)
+		g.work.learn(f.asked, now)
+		f.asked = time.Time{}
 	}
 	return action
 }
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -25,6 +25,8 @@
 	*admission.Gate
 	now      time.Time
 	sequence uint64
+	// lost are the resets for callers whose flows ended with their upstream.
+	lost []bramleyfall.Segment
 }
 
 // newBeside returns the gate of a ready upstream of railbook with two slots.
@@ -67,7 +69,9 @@
 	if h.Sequence == 0 {
 		h.Sequence = b.sequence
 	}
-	return b.Heartbeat(h, b.now)
+	news, lost := b.Heartbeat(h, b.now)
+	b.lost = append(b.lost, lost...)
+	return news
 }
 
 func flowOf(n int) bramleyfall.Flow {
@@ -141,3 +145,76 @@
 		})
 	}
 }
+
+// A wave of requests finds all upstreams full: what can still be answered in
+// time waits at the upstream, the rest is refused at once.
+func TestWaveAboveCapacity(t *testing.T) {
+	tests := []struct {
+		name      string
+		objective time.Duration
+		work      time.Duration
+		priority  bramleyfall.Priority
+		must      bool
+		admitted  int
+	}{
+		{"another upstream may have a slot", 120 * time.Millisecond, 20 * time.Millisecond, 2, false, 2},
+		{"orders wait for half of their objective", 120 * time.Millisecond, 20 * time.Millisecond, 1, true, 2 + 6},
+		{"the feed leaves room for orders", 120 * time.Millisecond, 20 * time.Millisecond, 2, true, 2 + 5},
+		{"slow work leaves little time to wait", 120 * time.Millisecond, 120 * time.Millisecond, 1, true, 2 + 1},
+		{"the queue is bounded", 10 * time.Second, 20 * time.Millisecond, 1, true, 2 + 8},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBeside(t)
+			for range 60 { // learn the time of the work
+				is.Equal(b.open(0, offer), bramleyfall.OK)
+				b.request(0)
+				b.after(test.work)
+				b.answer(0)
+				b.FromUpstream(fromUpstream(0, bramleyfall.KindReset, 0, 0), b.now)
+				b.beat(bramleyfall.Heartbeat{})
+			}
+			o := admission.Offer{Service: railbook.Key(), Version: 1, Priority: test.priority, Objective: test.objective, Must: test.must}
+			admitted := 0
+			for n := range 20 {
+				if b.open(n+1, o) == bramleyfall.OK {
+					admitted++
+					b.request(n + 1)
+				}
+			}
+			is.Equal(admitted, test.admitted)
+		})
+	}
+}
+
+// The callers of an upstream that ended are told while their flows are idle, so
+// that no order is sent into one.
+func TestCallersLearnThatTheirUpstreamEnded(t *testing.T) {
+	is := is.New(t)
+	b := newBeside(t)
+	is.Equal(b.open(1, offer), bramleyfall.OK)
+	b.request(1)
+	b.answer(1)
+	b.FromBalancer(fromCaller(1, 1901, 0), offer, b.now)
+	is.True(b.beat(bramleyfall.Heartbeat{Boot: 2000}))
+	is.Equal(len(b.lost), 1)
+	is.Equal(b.lost[0].Sequence, uint32(1901))
+	is.Equal(b.lost[0].Flow, flowOf(1).Reverse())
+
+	is.Equal(b.open(2, offer), bramleyfall.OK)
+	is.Equal(len(b.Sweep(b.now)), 0)
+	b.after(4 * time.Second) // more than three heartbeats are missing
+	is.Equal(len(b.Sweep(b.now)), 1)
+}
+
+func TestHeartbeatsOutOfOrder(t *testing.T) {
+	is := is.New(t)
+	b := newBeside(t)
+	is.True(b.beat(bramleyfall.Heartbeat{Boot: 2000, Sequence: 7, Draining: true}))
+	is.True(!b.beat(bramleyfall.Heartbeat{Boot: 2000, Sequence: 6})) // late
+	is.True(!b.beat(bramleyfall.Heartbeat{Boot: 1000, Sequence: 9})) // of the run before
+	is.Equal(b.State(b.now), bramleyfall.UpstreamDraining)
+	is.True(b.beat(bramleyfall.Heartbeat{Boot: 3000, Sequence: 1}))
+	is.Equal(b.State(b.now), bramleyfall.UpstreamReady)
+}
--- a/admission/meter.go
+++ b/admission/meter.go
@@ -52,3 +52,30 @@
 	}
 	return uint16(min(1000*m.mean/float64(slots), math.MaxUint16))
 }
+
+const (
+	// firstWork is the time that a request is taken to need before any was seen.
+	firstWork = 20 * time.Millisecond
+	// workWeight is the weight of each request in the mean: some ten requests
+	// make a new one.
+	workWeight = 0.1
+)
+
+// workTime is the mean time in which the upstream answers a request that finds a
+// free slot.
+type workTime struct{ mean time.Duration }
+
+// learn takes a request that was delivered at asked and answered at now.
+func (w *workTime) learn(asked, now time.Time) {
+	if asked.IsZero() {
+		return
+	}
+	w.mean = time.Duration((1-workWeight)*float64(w.get()) + workWeight*float64(now.Sub(asked)))
+}
+
+func (w *workTime) get() time.Duration {
+	if w.mean == 0 {
+		return firstWork
+	}
+	return w.mean
+}
--- a/admission/opening.go
+++ b/admission/opening.go
@@ -66,20 +66,28 @@
 
 // busyLimit is the number of requests under way from which on an opening is
 // refused. It answers a wave of requests above the upstreams' capacity: as long
-// as another upstream may have a free slot none waits for one, and when all are
-// taken the most important requests may queue longest.
+// as another upstream may have a free slot none waits for one. When all are
+// taken, a request may wait for as long as its answer is still in time, and the
+// most important ones longest.
 func (g *Gate) busyLimit(o Offer) int {
 	slots := g.upstream.slots
 	if !o.Must {
 		return slots
 	}
-	queue := g.config.QueuePerSlot * float64(slots)
+	perSlot := g.config.QueuePerSlot
+	if o.Objective > 0 {
+		perSlot = min(perSlot, g.config.QueueShare*float64(o.Objective)/float64(g.work.get()))
+	}
 	if o.Priority > importantPriority {
-		queue /= 2
+		perSlot *= lessImportant
 	}
-	return slots + int(queue+0.5)
+	return slots + int(perSlot*float64(slots)+0.5)
 }
 
+// lessImportant is the part of the queue that is open to requests of lower
+// priority; the rest is kept for the important ones.
+const lessImportant = 0.75
+
 // importantPriority is the last priority whose openings may use the whole
 // queue: that of the users' orders.
 const importantPriority bramleyfall.Priority = 1
@@ -99,8 +107,12 @@
 }
 
 // Sweep forgets flows that are over and frees the slots of openings that brought
-// no request.
-func (g *Gate) Sweep(now time.Time) {
+// no request. When the upstream is away, it returns resets for the callers of
+// all its flows.
+func (g *Gate) Sweep(now time.Time) []bramleyfall.Segment {
+	if g.upstream.boot != 0 && g.away(now) {
+		return g.endFlows(now)
+	}
 	idle := g.lifetime()
 	for key, f := range g.flows {
 		age := now.Sub(f.lastUse)
@@ -112,6 +124,7 @@
 			g.setWaiting(f, false, now)
 		}
 	}
+	return nil
 }
 
 const (
--- a/admission/upstream.go
+++ b/admission/upstream.go
@@ -44,32 +44,39 @@
 }
 
 // Heartbeat takes what the upstream says of itself. It reports whether the
-// heartbeat is news; late ones and those of earlier runs are not.
-func (g *Gate) Heartbeat(h bramleyfall.Heartbeat, now time.Time) bool {
+// heartbeat is news; late ones and those of earlier runs are not. When it is of
+// a new run, the resets are for the callers whose flows ended with the old one.
+func (g *Gate) Heartbeat(h bramleyfall.Heartbeat, now time.Time) (bool, []bramleyfall.Segment) {
 	u := &g.upstream
 	sameRun := h.Boot == u.boot && h.Upstream == u.id
 	if sameRun && h.Sequence <= u.sequence || h.Boot < u.boot && !g.away(now) {
-		return false
+		return false, nil
 	}
+	var lost []bramleyfall.Segment
 	if !sameRun {
-		g.newRun(now)
+		if u.boot != 0 {
+			lost = g.endFlows(now)
+		}
 		*u = upstream{id: h.Upstream, boot: h.Boot}
 	}
 	u.sequence, u.domain, u.slots, u.draining = h.Sequence, h.Domain, h.Slots, h.Draining
 	u.coldUntil = now.Add(h.ColdFor)
 	u.lastBeat = now
 	u.heard()
-	return true
+	return true, lost
 }
 
-// newRun forgets the flows of the run before, which the new one doesn't hold.
-func (g *Gate) newRun(now time.Time) {
-	if g.upstream.boot == 0 {
-		return
-	}
+// endFlows forgets all flows and returns resets for the callers of those that
+// were open.
+func (g *Gate) endFlows(now time.Time) []bramleyfall.Segment {
+	var resets []bramleyfall.Segment
 	for key, f := range g.flows {
+		if f.state != g.chart.Opening && f.state != g.chart.HalfOpen && f.state != g.chart.Closed && f.ack != 0 {
+			resets = append(resets, bramleyfall.Segment{Flow: key.Reverse(), Sequence: f.ack, Reset: true})
+		}
 		g.forget(key, f, now)
 	}
+	return resets
 }
 
 // Left takes the upstream's word that it ends.
--- a/placement/opening.go
+++ b/placement/opening.go
@@ -65,7 +65,7 @@
 	p.openings = append(p.openings, opening{flow: flow, at: now, to: best})
 	p.targets = append(p.targets[:0], best.target())
 	return Decision{
-		Kind: bramleyfall.ActionPass, Flow: flow, Targets: p.targets, Must: f.must, Priority: route.Priority,
+		Kind: bramleyfall.ActionPass, Flow: flow, Targets: p.targets, Must: f.must, Priority: route.Priority, Objective: route.Objective,
 		Instance: best.Instance, Load: best.load, LoadAge: now.Sub(best.loadAt), Raw: f.pending,
 	}
 }
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -78,8 +78,9 @@
 	// Ask is set when the owner of the flow is looked for.
 	Ask bool
 	// Must is set on an opening that no upstream has a free slot for.
-	Must     bool
-	Priority bramleyfall.Priority
+	Must      bool
+	Priority  bramleyfall.Priority
+	Objective time.Duration
 	// Instance is the agent of the first target, and Load what it said last, for
 	// the log; LoadAge is how old that is.
 	Instance bramleyfall.InstanceID
--- a/tunnel/message.go
+++ b/tunnel/message.go
@@ -4,6 +4,8 @@
 
 import (
 	"encoding/binary"
+	"math"
+	"time"
 
 	"bramleyfall.example/bramleyfall"
 )
@@ -43,8 +45,10 @@
 	Version bramleyfall.ConfigVersion
 	// Service is the service that the balancer chose.
 	Service bramleyfall.ServiceKey
-	// Priority and Objective are those of the route, for openings.
-	Priority bramleyfall.Priority
+	// Priority and Objective are those of the route, for openings. The objective
+	// is carried in milliseconds.
+	Priority  bramleyfall.Priority
+	Objective time.Duration
 	// Load and Boot are the upstream's, in messages of agents.
 	Load bramleyfall.Load
 	Boot bramleyfall.BootID
@@ -73,7 +77,8 @@
 	offsetSourcePort = 40
 	offsetTarget     = 42
 	offsetTargetPort = 46
-	headSize         = 48
+	offsetObjective  = 48
+	headSize         = 50
 )
 
 var states = []bramleyfall.UpstreamState{
@@ -110,6 +115,7 @@
 	binary.BigEndian.PutUint64(head[offsetBoot:], uint64(m.Boot))
 	copy(head[offsetSource:], m.Flow.Source.IP[:])
 	binary.BigEndian.PutUint16(head[offsetSourcePort:], m.Flow.Source.Port)
+	binary.BigEndian.PutUint16(head[offsetObjective:], uint16(min(m.Objective.Milliseconds(), math.MaxUint16)))
 	copy(head[offsetTarget:], m.Flow.Destination.IP[:])
 	binary.BigEndian.PutUint16(head[offsetTargetPort:], m.Flow.Destination.Port)
 	return append(append(b, head[:]...), m.Raw...)
@@ -121,12 +127,13 @@
 		return bramleyfall.Errorf(bramleyfall.MalformedMessage, "%d bytes are not a message between balancer and agent", len(b))
 	}
 	*m = Message{
-		Kind:     Kind(b[offsetKind]),
-		Must:     b[offsetMust] == 1,
-		Priority: bramleyfall.Priority(b[offsetPriority]),
-		Code:     bramleyfall.ResultCode(binary.BigEndian.Uint16(b[offsetCode:])),
-		Version:  bramleyfall.ConfigVersion(binary.BigEndian.Uint64(b[offsetVersion:])),
-		Service:  bramleyfall.ServiceKey(binary.BigEndian.Uint32(b[offsetService:])),
+		Kind:      Kind(b[offsetKind]),
+		Must:      b[offsetMust] == 1,
+		Priority:  bramleyfall.Priority(b[offsetPriority]),
+		Objective: time.Duration(binary.BigEndian.Uint16(b[offsetObjective:])) * time.Millisecond,
+		Code:      bramleyfall.ResultCode(binary.BigEndian.Uint16(b[offsetCode:])),
+		Version:   bramleyfall.ConfigVersion(binary.BigEndian.Uint64(b[offsetVersion:])),
+		Service:   bramleyfall.ServiceKey(binary.BigEndian.Uint32(b[offsetService:])),
 		Load: bramleyfall.Load{
 			State:       states[b[offsetState]],
 			Slots:       binary.BigEndian.Uint16(b[offsetSlots:]),
