--- a/direct/agent.go
+++ b/direct/agent.go
@@ -59,6 +59,7 @@
 	wire      bramleyfall.Wire
 	tunnel    *net.UDPConn
 	outbound  *net.UDPConn
+	peers     *peers
 	follower  *directory.Follower
 	announcer *directory.Announcer
 	servers   []*http.Server
@@ -96,7 +97,7 @@
 		return nil, err
 	}
 	a := &Agent{
-		config: config, clock: clock, telemetry: t, wire: wire, gate: gate,
+		config: config, clock: clock, telemetry: t, wire: wire, gate: gate, peers: newPeers(config.Metrics.Port),
 		numbers: make(map[bramleyfall.Endpoint]uint32), claims: make(map[bramleyfall.Flow]uint32),
 		state: bramleyfall.UpstreamUnknown,
 		counts: agentCounts{
@@ -109,7 +110,7 @@
 	}
 	configuration := &dependency{telemetry: t, name: "Configuration"}
 	own := &dependency{telemetry: t, name: "OwnEntry"}
-	a.follower = directory.NewFollower(source, a.configured, configuration.health)
+	a.follower = directory.NewFollower(source, a.peers.fetch, a.configured, configuration.health)
 	a.announcer = directory.NewAnnouncer(store, own.health)
 	if a.tunnel, err = listenUDP(config.Packets); err != nil {
 		return nil, err
@@ -129,7 +130,7 @@
 	}{
 		{a.config.Control, control},
 		{a.config.HTTP, a.telemetry.Handler()},
-		{a.config.Metrics, a.telemetry.Handler()},
+		{a.config.Metrics, a.peers.handler(a.telemetry)},
 	}
 	for _, h := range handlers {
 		s, err := serveHTTP(h.at, h.handler, a.telemetry)
@@ -227,7 +228,7 @@
 	a.balancers[number].due = true
 	if m.Version > a.gate.Version() && !now.Before(a.nextRefresh) {
 		a.nextRefresh = now.Add(refreshEvery)
-		a.follower.Refresh()
+		a.follower.Behind(a.balancers[number].address)
 	}
 	switch m.Kind {
 	case tunnel.Probe:
@@ -246,7 +247,7 @@
 	p := &a.packet
 	asked := m.Kind == tunnel.Ask
 	action := a.gate.FromBalancer(p, admission.Offer{
-		Service: m.Service, Version: m.Version, Priority: m.Priority, Must: m.Must, Asked: asked,
+		Service: m.Service, Version: m.Version, Priority: m.Priority, Objective: m.Objective, Must: m.Must, Asked: asked,
 	}, now)
 	if p.Kind == bramleyfall.KindOpening {
 		a.logOpening(&action, m, number, now)
@@ -350,7 +351,7 @@
 	now := a.clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.gate.Sweep(now)
+	a.resetCallers(a.gate.Sweep(now), bramleyfall.FlowSilent)
 	a.report(a.noteState(now))
 }
 
@@ -387,9 +388,11 @@
 		a.malformed(bramleyfall.Errorf(bramleyfall.WrongService, "heartbeat of %s names service %s", h.Upstream, h.Service))
 		return
 	}
-	if !a.gate.Heartbeat(h, now) {
+	news, lost := a.gate.Heartbeat(h, now)
+	if !news {
 		return
 	}
+	a.resetCallers(lost, bramleyfall.UpstreamRestart)
 	if a.noteState(now) {
 		a.report(true)
 	}
@@ -403,6 +406,19 @@
 	}
 }
 
+// resetCallers tells the callers of flows that ended with their upstream, so
+// that they open others before they have something to send.
+func (a *Agent) resetCallers(lost []bramleyfall.Segment, reason bramleyfall.ResultCode) {
+	if len(lost) == 0 {
+		return
+	}
+	a.telemetry.Log.Info().Str("Event", "FlowsLost").Int("Flows", len(lost)).Str("Reason", reason.String()).Msg("")
+	for i := range lost {
+		a.buffer = a.wire.AppendReset(a.buffer[:0], &lost[i])
+		a.write(a.tunnel, a.buffer, bramleyfall.Endpoint{IP: lost[i].Flow.Destination.IP, Port: a.config.Packets.Port})
+	}
+}
+
 // Deregister implements bramleyfall.UpstreamSink.
 func (a *Agent) Deregister(id bramleyfall.UpstreamID) {
 	now := a.clock.Now()
@@ -431,6 +447,7 @@
 }
 
 func (a *Agent) configured(s *bramleyfall.Snapshot) {
+	a.peers.current.Store(s)
 	a.mu.Lock()
 	a.gate.Configure(s, a.clock.Now())
 	a.mu.Unlock()
--- a/direct/balancer.go
+++ b/direct/balancer.go
@@ -50,6 +50,7 @@
 	wire      bramleyfall.Wire
 	callers   *net.UDPConn
 	agents    *net.UDPConn
+	peers     *peers
 	follower  *directory.Follower
 	roster    *directory.Roster
 	servers   []*http.Server
@@ -75,7 +76,7 @@
 // NewBalancer opens the sockets of a balancer.
 func NewBalancer(config BalancerConfig, clock bramleyfall.Clock, wire bramleyfall.Wire, store bramleyfall.Store, source bramleyfall.ConfigurationSource, t *telemetry.Telemetry) (*Balancer, error) {
 	b := &Balancer{
-		config: config, clock: clock, telemetry: t, wire: wire,
+		config: config, clock: clock, telemetry: t, wire: wire, peers: newPeers(config.Metrics.Port),
 		placer: placement.New(placement.WithDomain(config.Domain)),
 		counts: balancerCounts{
 			packets:   t.Counter("bramleyfall_packets_total"),
@@ -89,7 +90,7 @@
 	}
 	configuration := &dependency{telemetry: t, name: "Configuration"}
 	entries := &dependency{telemetry: t, name: "AgentEntries"}
-	b.follower = directory.NewFollower(source, b.configured, configuration.health)
+	b.follower = directory.NewFollower(source, b.peers.fetch, b.configured, configuration.health)
 	b.roster = directory.NewRoster(store, b, entries.health, func() { b.listed.Store(true) })
 	var err error
 	if b.callers, err = listenUDP(config.Packets); err != nil {
@@ -104,8 +105,15 @@
 }
 
 func (b *Balancer) listen() error {
-	for _, at := range []bramleyfall.Endpoint{b.config.HTTP, b.config.Metrics} {
-		s, err := serveHTTP(at, b.telemetry.Handler(), b.telemetry)
+	handlers := []struct {
+		at      bramleyfall.Endpoint
+		handler http.Handler
+	}{
+		{b.config.HTTP, b.telemetry.Handler()},
+		{b.config.Metrics, b.peers.handler(b.telemetry)},
+	}
+	for _, h := range handlers {
+		s, err := serveHTTP(h.at, h.handler, b.telemetry)
 		if err != nil {
 			return err
 		}
@@ -194,7 +202,7 @@
 	}
 	if m.Version > b.placer.Version() && !now.Before(b.nextRefresh) {
 		b.nextRefresh = now.Add(refreshEvery)
-		b.follower.Refresh()
+		b.follower.Behind(from)
 	}
 	switch m.Kind {
 	case tunnel.Return:
@@ -248,7 +256,8 @@
 		}
 		for _, target := range d.Targets {
 			b.message = tunnel.Message{
-				Kind: kind, Must: d.Must, Version: b.placer.Version(), Service: target.Service, Priority: d.Priority, Raw: raw,
+				Kind: kind, Must: d.Must, Version: b.placer.Version(), Service: target.Service,
+				Priority: d.Priority, Objective: d.Objective, Raw: raw,
 			}
 			b.send(&b.message, target.Address)
 		}
@@ -296,6 +305,7 @@
 }
 
 func (b *Balancer) configured(s *bramleyfall.Snapshot) {
+	b.peers.current.Store(s)
 	b.mu.Lock()
 	b.placer.Configure(s)
 	b.mu.Unlock()
--- /dev/null
+++ b/direct/peers.go
@@ -0,0 +1,69 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/telemetry"
+)
+
+const (
+	// configurationPath is where instances show the configuration that they have.
+	configurationPath = "/configuration"
+	// fetchTimeout bounds the read of a peer's configuration: several round trips
+	// and the transfer of some hundred kilobytes.
+	fetchTimeout = time.Second
+)
+
+// peers shares the configuration with other instances, for the time that the
+// store turns one of them away. All instances of a fleet serve it at one port.
+type peers struct {
+	port    uint16
+	client  *http.Client
+	current atomic.Pointer[bramleyfall.Snapshot]
+}
+
+func newPeers(port uint16) *peers {
+	return &peers{port: port, client: &http.Client{Timeout: fetchTimeout}}
+}
+
+// fetch implements directory.Fetch.
+func (p *peers) fetch(ctx context.Context, peer bramleyfall.Endpoint) (*bramleyfall.Snapshot, error) {
+	peer.Port = p.port
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+configurationPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := p.client.Do(r)
+	if err != nil {
+		return nil, bramleyfall.Errorf(bramleyfall.PeerAway, "%v", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, bramleyfall.Errorf(bramleyfall.PeerAway, "%s: %s", peer, response.Status)
+	}
+	var s bramleyfall.Snapshot
+	if err := json.NewDecoder(response.Body).Decode(&s); err != nil {
+		return nil, bramleyfall.Errorf(bramleyfall.MalformedMessage, "configuration of %s: %v", peer, err)
+	}
+	return &s, nil
+}
+
+// handler serves the metrics and the configuration.
+func (p *peers) handler(t *telemetry.Telemetry) http.Handler {
+	mux := t.Handler()
+	mux.HandleFunc("GET "+configurationPath, func(w http.ResponseWriter, _ *http.Request) {
+		s := p.current.Load()
+		if s == nil {
+			http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s)
+	})
+	return mux
+}
--- a/directory/announcer.go
+++ b/directory/announcer.go
@@ -56,7 +56,7 @@
 		wanted := a.wanted
 		a.mu.Unlock()
 		if wanted == nil && a.written == nil {
-			sleep(ctx, leaseTTL, a.wake)
+			sleepUntil(ctx, leaseTTL, a.wake)
 			continue
 		}
 		err := a.step(ctx, wanted)
@@ -67,11 +67,11 @@
 			a.lease, a.written = 0, nil
 		case err != nil:
 			a.health(err)
-			sleep(ctx, retry.NextBackOff(), nil)
+			sleep(ctx, retry.NextBackOff())
 		default:
 			a.health(nil)
 			retry.Reset()
-			sleep(ctx, renewEvery, a.wake)
+			sleepUntil(ctx, renewEvery, a.wake)
 		}
 	}
 }
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -29,8 +29,11 @@
 	return b
 }
 
-// sleep waits for d, or until ctx ends or wake has something.
-func sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+// sleep waits for d, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) { sleepUntil(ctx, d, nil) }
+
+// sleepUntil waits for d, or until ctx ends or wake has something.
+func sleepUntil(ctx context.Context, d time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -43,24 +46,31 @@
 // Dependency tells whether the store answers.
 type Dependency func(err error)
 
-// Follower keeps the operators' configuration up to date.
+// Fetch reads the configuration that a peer has.
+type Fetch func(ctx context.Context, peer bramleyfall.Endpoint) (*bramleyfall.Snapshot, error)
+
+// Follower keeps the operators' configuration up to date. While the store turns
+// this process away, it takes newer configurations from peers.
 type Follower struct {
 	source  bramleyfall.ConfigurationSource
+	fetch   Fetch
 	changed func(*bramleyfall.Snapshot)
 	health  Dependency
-	stale   chan struct{}
-	known   *bramleyfall.Snapshot
+	// ahead holds a peer that knows a newer configuration.
+	ahead chan bramleyfall.Endpoint
+	known *bramleyfall.Snapshot
+	newer bramleyfall.Endpoint
 }
 
 // NewFollower returns a follower that hands each configuration to changed.
-func NewFollower(source bramleyfall.ConfigurationSource, changed func(*bramleyfall.Snapshot), health Dependency) *Follower {
-	return &Follower{source: source, changed: changed, health: health, stale: make(chan struct{}, 1)}
+func NewFollower(source bramleyfall.ConfigurationSource, fetch Fetch, changed func(*bramleyfall.Snapshot), health Dependency) *Follower {
+	return &Follower{source: source, fetch: fetch, changed: changed, health: health, ahead: make(chan bramleyfall.Endpoint, 1)}
 }
 
-// Refresh has the configuration read again, because a peer knows a newer one.
-func (f *Follower) Refresh() {
+// Behind has the configuration read again, because a peer knows a newer one.
+func (f *Follower) Behind(peer bramleyfall.Endpoint) {
 	select {
-	case f.stale <- struct{}{}:
+	case f.ahead <- peer:
 	default:
 	}
 }
@@ -77,7 +87,25 @@
 			continue
 		}
 		f.health(err)
-		sleep(ctx, retry.NextBackOff(), nil)
+		f.askPeer(ctx)
+		sleep(ctx, retry.NextBackOff())
+	}
+}
+
+// askPeer takes the configuration of a peer that is known to have a newer one.
+// A peer that doesn't answer is left out until it shows again that it has.
+func (f *Follower) askPeer(ctx context.Context) {
+	select {
+	case f.newer = <-f.ahead:
+	default:
+	}
+	if f.newer.IsZero() {
+		return
+	}
+	s, err := f.fetch(ctx, f.newer)
+	f.newer = bramleyfall.Endpoint{}
+	if err == nil && (f.known == nil || s.Version > f.known.Version) {
+		f.take(s)
 	}
 }
 
@@ -118,9 +146,12 @@
 func (f *Follower) next(ctx context.Context, s *bramleyfall.Snapshot) (*bramleyfall.Snapshot, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	done := make(chan struct{})
-	defer close(done)
-	go f.loopStale(done, cancel)
+	done, stopped := make(chan struct{}), make(chan struct{})
+	defer func() {
+		close(done)
+		<-stopped
+	}()
+	go f.loopStale(done, stopped, cancel)
 	next, err := f.source.Next(ctx, s, watchWait)
 	if err != nil && errors.Is(context.Cause(ctx), errStale) {
 		return nil, errStale
@@ -128,10 +159,11 @@
 	return next, err
 }
 
-func (f *Follower) loopStale(done <-chan struct{}, cancel context.CancelCauseFunc) {
+func (f *Follower) loopStale(done <-chan struct{}, stopped chan<- struct{}, cancel context.CancelCauseFunc) {
+	defer close(stopped)
 	select {
 	case <-done:
-	case <-f.stale:
+	case f.newer = <-f.ahead:
 		cancel(errStale)
 	}
 }
--- a/directory/members.go
+++ b/directory/members.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		r.health(err)
-		sleep(ctx, retry.NextBackOff(), nil)
+		sleep(ctx, retry.NextBackOff())
 	}
 }
 
