Reset flows whose agents are silent once all others have denied them

Cause: when a failure domain lost power, callers of flows in it waited until their deadlines: the agents that might have held the flow didn't answer, so the denials never became complete. Ruled out: the balancers' own loss; they took the packets. Agents report ten times a second, and silence counts after 250 ms (350 ms for a reset). TestFlowsOfSilentAgents failed before.

--- a/direct/agent.go
+++ b/direct/agent.go
@@ -22,7 +22,7 @@
 	// reportEvery is the time between two reports to a balancer that sent
 	// something meanwhile. A balancer takes an agent for silent after more than
 	// twice of it.
-	reportEvery = 200 * time.Millisecond
+	reportEvery = 100 * time.Millisecond
 	// agentLinger bounds the wait of a leaving agent for a moment without a
 	agentLinger = 2500 * time.Millisecond
 	// leaveCheck is the time between two looks for such a moment.
--- a/placement/opening.go
+++ b/placement/opening.go
@@ -180,6 +180,7 @@
 // over. It calls decided for each decision.
 func (p *Placer) Tick(now time.Time, decided func(Decision)) {
 	p.sweep(now)
+	p.checkLookups(now, decided)
 	due := 0
 	for due < len(p.openings) && now.Sub(p.openings[due].at) >= p.config.OpeningWithin {
 		due++
@@ -200,6 +201,3 @@
 		decided(p.place(o.flow, f, route, now))
 	}
 }
-
-// Waiting reports whether openings wait for an agent's answer.
-func (p *Placer) Waiting() bool { return len(p.openings) > 0 }
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -26,8 +26,11 @@
 	// round trip between failure domains with room for jitter.
 	OpeningWithin time.Duration
 	// SilentAfter is the time without any message after which an agent that was
-	// sent something counts as silent.
+	// sent something counts as silent: an agent reports ten times a second.
 	SilentAfter time.Duration
+	// LostAfter is the time after which the flows of a silent agent are given up
+	// where a caller waits.
+	LostAfter time.Duration
 	// ProbeEvery is the time between two probes of a silent agent.
 	ProbeEvery time.Duration
 	// UnlistedFor is how long an agent whose entry was removed from the store is
@@ -47,8 +50,9 @@
 		RemoteCost:    0.25,
 		ColdCost:      0.5,
 		OpeningWithin: 45 * time.Millisecond,
-		SilentAfter:   500 * time.Millisecond,
-		ProbeEvery:    250 * time.Millisecond,
+		SilentAfter:   250 * time.Millisecond,
+		LostAfter:     350 * time.Millisecond,
+		ProbeEvery:    200 * time.Millisecond,
 		UnlistedFor:   20 * time.Second,
 		MaxAsked:      64,
 		MaxTries:      5,
@@ -101,6 +105,7 @@
 	services  map[bramleyfall.ServiceName][]*upstream
 	flows     map[bramleyfall.Flow]*placed
 	openings  []opening
+	lookups   []lookup
 	targets   []Target
 	nextSweep time.Time
 }
@@ -137,6 +142,12 @@
 	to   *upstream
 }
 
+// lookup is an entry of the queue of flows whose owner is looked for.
+type lookup struct {
+	flow bramleyfall.Flow
+	at   time.Time
+}
+
 // New returns a Placer that knows nothing yet.
 func New(options ...Option) *Placer {
 	config := DefaultConfig()
@@ -245,6 +256,9 @@
 			p.askEach(p.services[name], now)
 		}
 	}
+	if f.asked == 0 {
+		p.lookups = append(p.lookups, lookup{flow, now})
+	}
 	f.asked, f.denied = len(p.targets), f.denied[:0]
 	if len(p.targets) == 0 {
 		return Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoUpstream, Flow: flow}
@@ -285,14 +299,13 @@
 	f.pending, f.tried, f.asked = nil, nil, 0
 }
 
-// NotOwned notes that an agent's upstream doesn't hold a flow. When all agents
-// have said so, its upstream is gone and the caller is told at once, so that it
+// NotOwned notes that an agent's upstream doesn't hold a flow. When no agent is
+// left that may, its upstream is gone and the caller is told at once, so that it
 // can open another.
-func (p *Placer) NotOwned(flow bramleyfall.Flow, from bramleyfall.Endpoint, _ time.Time) Decision {
+func (p *Placer) NotOwned(flow bramleyfall.Flow, from bramleyfall.Endpoint, now time.Time) Decision {
 	f := p.flows[flow]
-	none := Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoOwner, Flow: flow}
 	if f == nil || f.asked == 0 {
-		return none
+		return Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoOwner, Flow: flow}
 	}
 	if f.owner != nil && f.owner.Packets == from {
 		f.owner = nil
@@ -300,9 +313,27 @@
 	if !slices.Contains(f.denied, from) {
 		f.denied = append(f.denied, from)
 	}
-	if len(f.denied) < max(f.asked, len(p.upstreams)) || f.owner != nil {
-		return none
+	if !p.lost(f, now) {
+		return Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoOwner, Flow: flow}
+	}
+	return p.resetLost(flow, f)
+}
+
+// lost reports whether no agent is left that may hold a flow: each has denied it
+// or is silent. When all are silent, it is the balancer that is cut off.
+func (p *Placer) lost(f *placed, now time.Time) bool {
+	if f.asked < len(p.upstreams) || len(f.denied) == 0 {
+		return false
+	}
+	for _, u := range p.upstreams {
+		if !slices.Contains(f.denied, u.Packets) && !u.silent(p.config.LostAfter, now) {
+			return false
+		}
 	}
+	return true
+}
+
+func (p *Placer) resetLost(flow bramleyfall.Flow, f *placed) Decision {
 	ack := f.ack
 	delete(p.flows, flow)
 	return Decision{
@@ -311,6 +342,29 @@
 	}
 }
 
+// checkLookups resets the flows whose last possible owners have gone silent
+// since their packet was offered.
+func (p *Placer) checkLookups(now time.Time, decided func(Decision)) {
+	kept := p.lookups[:0]
+	for _, l := range p.lookups {
+		f := p.flows[l.flow]
+		switch {
+		case f == nil || f.asked == 0:
+		case p.lost(f, now):
+			decided(p.resetLost(l.flow, f))
+		case now.Sub(l.at) < lookupFor:
+			kept = append(kept, l)
+		default:
+			f.asked = 0
+		}
+	}
+	p.lookups = kept
+}
+
+// lookupFor is how long the owner of a flow is looked for: until the caller has
+// repeated its packet and that is offered again.
+const lookupFor = time.Second
+
 // flowIdle is the time after which the owner of an idle flow is forgotten where
 // the configuration sets none.
 const flowIdle = time.Minute
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -140,3 +140,46 @@
 		is.Equal(w.NotOwned(flowOf(1), agent(n), w.now).Kind, bramleyfall.ActionDrop)
 	}
 }
+
+// A failure domain loses power with the agents of some flows. Their callers are
+// told as soon as the others have denied the flow and the rest stays silent.
+func TestFlowsOfSilentAgents(t *testing.T) {
+	tests := []struct {
+		name   string
+		silent int
+		denied int
+		after  time.Duration
+		reset  bool
+	}{
+		{"all others deny and the rest is silent", 3, 4, 700 * time.Millisecond, true},
+		{"the rest may still answer", 3, 4, 100 * time.Millisecond, false},
+		{"one of the others has yet to answer", 3, 3, 700 * time.Millisecond, false},
+		{"all are silent, so the balancer itself may be cut off", 7, 0, 2 * time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(7)
+			w.Owned(flowOf(1), agent(0), w.now)
+			w.FromCaller(data(1), w.now) // agent 0 doesn't answer from here on
+			var resets int
+			count := func(d placement.Decision) {
+				if d.Kind == bramleyfall.ActionRefuse {
+					resets++
+				}
+			}
+			for elapsed := time.Duration(0); elapsed < test.after; elapsed += 20 * time.Millisecond {
+				w.now = w.now.Add(20 * time.Millisecond)
+				w.FromCaller(data(1), w.now)
+				for n := range 7 - test.silent {
+					w.report(6-n, ready(0, 0))
+				}
+				for n := range test.denied {
+					count(w.NotOwned(flowOf(1), agent(6-n), w.now))
+				}
+				w.Tick(w.now, count)
+			}
+			is.Equal(resets > 0, test.reset)
+		})
+	}
+}
