--- a/direct/balancer.go
+++ b/direct/balancer.go
@@ -24,9 +24,14 @@
 	// balancerTick is the time between two looks at openings that wait for an
 	// answer: a fraction of the time that they have.
 	balancerTick = 20 * time.Millisecond
-	// balancerLinger is the time for which a leaving balancer still forwards: the
-	// fabric takes it out of rotation after two misses of its readiness check.
-	balancerLinger = 2500 * time.Millisecond
+	// A leaving balancer forwards until nothing has come for quietFor, since the
+	// fabric takes it out of rotation only after two misses of its readiness
+	// check, but for leastLinger at least and mostLinger at most: the fabric goes
+	// on sending where too few others are ready.
+	quietFor    = 250 * time.Millisecond
+	leastLinger = 500 * time.Millisecond
+	mostLinger  = 3 * time.Second
+	lingerCheck = 20 * time.Millisecond
 )
 
 // BalancerConfig holds the settings of a Balancer.
@@ -65,6 +70,8 @@
 	message     tunnel.Message
 	buffer      []byte
 	nextRefresh time.Time
+	// lastPacket is when the last packet of a caller came.
+	lastPacket time.Time
 }
 
 type balancerCounts struct {
@@ -157,7 +164,7 @@
 	<-ctx.Done()
 	b.leaving.Store(true)
 	b.telemetry.Log.Info().Str("Event", "Leaving").Int("Flows", b.flows()).Msg("")
-	time.Sleep(balancerLinger)
+	b.linger()
 	cancel()
 	_ = b.callers.Close()
 	_ = b.agents.Close()
@@ -168,12 +175,29 @@
 	b.telemetry.Log.Info().Str("Event", "Stopped").Msg("")
 }
 
+// linger waits until the fabric has stopped sending.
+func (b *Balancer) linger() {
+	started := b.clock.Now()
+	for {
+		time.Sleep(lingerCheck)
+		now := b.clock.Now()
+		elapsed := now.Sub(started)
+		b.mu.Lock()
+		quiet := now.Sub(b.lastPacket) >= quietFor
+		b.mu.Unlock()
+		if elapsed >= mostLinger || elapsed >= leastLinger && quiet {
+			return
+		}
+	}
+}
+
 // fromCaller takes a packet that the fabric handed over.
 func (b *Balancer) fromCaller(data []byte, _ netip.AddrPort) {
 	now := b.clock.Now()
 	b.counts.packets.Inc()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.lastPacket = now
 	if err := b.wire.Decode(data, &b.packet); err != nil {
 		b.malformed(err)
 		return
--- /dev/null
+++ b/direct/direct_test.go
@@ -0,0 +1,361 @@
+package direct_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/direct"
+	"bramleyfall.example/bramleyfall/platform"
+	"bramleyfall.example/bramleyfall/platform/platformtest"
+	"bramleyfall.example/bramleyfall/telemetry"
+)
+
+const (
+	route  = "198.18.0.1:443"
+	config = `{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","type":"safe",` +
+		`"target_latency_ms":200,"priority":1,"service":"railbook"}],` +
+		`"services":[{"name":"railbook","max_conns":2000,"cold_s":0,"cold_per_s":0}],"limits":{"idle_timeout_ms":15000}}`
+)
+
+// fleet is a deployment on loopback. Each machine has an address of its own and
+// all use the same ports.
+type fleet struct {
+	*testing.T
+	store *platformtest.Store
+	ports [7]int
+	next  int
+}
+
+// The ports of a machine.
+const (
+	portData = iota
+	portTunnel
+	portHTTP
+	portMetrics
+	portControl
+	portOutbound
+	portApp
+)
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{T: t, store: platformtest.NewStore(t), next: 2}
+	for i := range f.ports {
+		f.ports[i] = freePort(t)
+	}
+	f.store.Put("op/config", fmt.Sprintf(config, 1))
+	return f
+}
+
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// machine returns the address of a new machine.
+func (f *fleet) machine() string {
+	f.next++
+	return fmt.Sprintf("127.0.%d.%d", 1+f.next/250, 1+f.next%250)
+}
+
+func (f *fleet) at(machine string, port int) string {
+	return fmt.Sprintf("%s:%d", machine, f.ports[port])
+}
+
+func (f *fleet) endpoint(machine string, port int) bramleyfall.Endpoint {
+	e, err := bramleyfall.ParseEndpoint(f.at(machine, port))
+	if err != nil {
+		f.Fatal(err)
+	}
+	return e
+}
+
+// process is a running balancer or agent.
+type process struct {
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// end stops the process and waits for it.
+func (p *process) end() {
+	p.stop()
+	<-p.done
+}
+
+func (f *fleet) start(run func(context.Context)) *process {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		run(ctx)
+	}()
+	f.Cleanup(p.end)
+	return p
+}
+
+func (f *fleet) telemetry(id string) *telemetry.Telemetry {
+	t := telemetry.New(io.Discard, bramleyfall.InstanceID(id))
+	f.Cleanup(t.Close)
+	return t
+}
+
+// balancer starts a balancer and waits until it is ready.
+func (f *fleet) balancer(machine string) *process {
+	store := platform.NewClient(f.store.Address)
+	b, err := direct.NewBalancer(direct.BalancerConfig{
+		ID: bramleyfall.InstanceID("balancer-" + machine), Domain: "Ikeja",
+		Packets: f.endpoint(machine, portData), Tunnel: f.endpoint(machine, portTunnel),
+		HTTP: f.endpoint(machine, portHTTP), Metrics: f.endpoint(machine, portMetrics),
+	}, bramleyfall.SystemClock(), platform.PacketCodec{}, store, platform.NewOperator(store), f.telemetry(machine))
+	if err != nil {
+		f.Fatal(err)
+	}
+	p := f.start(b.Run)
+	f.await("readiness of "+machine, func() bool { return f.get(machine, portHTTP, "/ready") == http.StatusOK })
+	return p
+}
+
+func (f *fleet) get(machine string, port int, path string) int {
+	response, err := http.Get("http://" + f.at(machine, port) + path)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// agent starts an agent.
+func (f *fleet) agent(machine string) *process {
+	store := platform.NewClient(f.store.Address)
+	a, err := direct.NewAgent(direct.AgentConfig{
+		ID: bramleyfall.InstanceID("agent-" + machine), Domain: "Ikeja", Service: "railbook",
+		Packets: f.endpoint(machine, portData), Outbound: f.endpoint(machine, portOutbound),
+		Upstream: f.endpoint(machine, portApp), Control: f.endpoint(machine, portControl),
+		HTTP: f.endpoint(machine, portHTTP), Metrics: f.endpoint(machine, portMetrics),
+		HeartbeatEvery: platformtest.HeartbeatEvery,
+	}, bramleyfall.SystemClock(), platform.PacketCodec{}, store, platform.NewOperator(store), platform.UpstreamHandler, f.telemetry(machine))
+	if err != nil {
+		f.Fatal(err)
+	}
+	return f.start(a.Run)
+}
+
+func (f *fleet) server(machine, id string) *platformtest.Server {
+	return platformtest.NewServer(f, id, "railbook", "Ikeja", f.at(machine, portApp), f.at(machine, portOutbound), f.at(machine, portControl))
+}
+
+// upstream starts a server with its agent and waits until it is announced.
+func (f *fleet) upstream(machine string) (*platformtest.Server, *process) {
+	announced := len(f.store.Keys("bramleyfall/agents/"))
+	p := f.agent(machine)
+	s := f.server(machine, "i-"+machine)
+	f.await("entry of "+machine, func() bool { return len(f.store.Keys("bramleyfall/agents/")) > announced })
+	return s, p
+}
+
+func (f *fleet) client() *platformtest.Client {
+	return platformtest.NewClient(f, f.at(f.machine(), portData))
+}
+
+// await waits for what a process is about to do; it fails the test when that
+// takes much longer than any bound of the product.
+func (f *fleet) await(what string, holds func() bool) {
+	f.Helper()
+	const patience = 10 * time.Second
+	for started := time.Now(); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(started) > patience {
+			f.Fatalf("%s: not within %s", what, patience)
+		}
+	}
+}
+
+// open opens a flow through a balancer, and once more while none is ready.
+func (f *fleet) open(c *platformtest.Client, port uint16, balancer string) *platformtest.Flow {
+	f.Helper()
+	var flow *platformtest.Flow
+	f.await("a flow", func() bool {
+		opened, _, err := c.Open(port, route, f.at(balancer, portData))
+		flow = opened
+		port++
+		return err == nil && opened != nil
+	})
+	return flow
+}
+
+func (f *fleet) ask(flow *platformtest.Flow, data, balancer string) {
+	f.Helper()
+	answer, err := flow.Ask(data, f.at(balancer, portData))
+	if err != nil || answer.Data != strings.ToUpper(data) {
+		f.Fatalf("asked %q, got %+v, %v", data, answer, err)
+	}
+}
+
+func TestWholePath(t *testing.T) {
+	f := newFleet(t)
+	b, m := f.machine(), f.machine()
+	server, _ := f.upstream(m)
+	f.balancer(b)
+	flow := f.open(f.client(), 2000, b)
+	f.ask(flow, "order 1", b)
+	f.ask(flow, "order 2", b)
+	is.New(t).Equal(server.Served(), 2)
+}
+
+// A packet may reach a balancer that has never seen its flow.
+func TestFlowSurvivesItsBalancer(t *testing.T) {
+	f := newFleet(t)
+	b1, b2 := f.machine(), f.machine()
+	f.upstream(f.machine())
+	f.upstream(f.machine())
+	first := f.balancer(b1)
+	f.balancer(b2)
+	flow := f.open(f.client(), 2000, b1)
+	f.ask(flow, "order 1", b1)
+	first.end()
+	f.ask(flow, "order 2", b2)
+}
+
+// An agent that was restarted knows no flow; its upstream does.
+func TestFlowSurvivesItsAgent(t *testing.T) {
+	f := newFleet(t)
+	b, m := f.machine(), f.machine()
+	_, agent := f.upstream(m)
+	f.upstream(f.machine())
+	f.balancer(b)
+	c := f.client()
+	flows := []*platformtest.Flow{f.open(c, 2000, b), f.open(c, 2100, b), f.open(c, 2200, b), f.open(c, 2300, b)}
+	agent.end()
+	f.agent(m)
+	for n, flow := range flows {
+		f.ask(flow, fmt.Sprintf("order %d", n), b)
+	}
+}
+
+// The caller of an upstream that was replaced at its address is told.
+func TestFlowOfARestartedUpstreamIsReset(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	b, m := f.machine(), f.machine()
+	server, _ := f.upstream(m)
+	f.balancer(b)
+	flow := f.open(f.client(), 2000, b)
+	f.ask(flow, "order 1", b)
+	server.Kill()
+	f.server(m, "i-second")
+	answer, err := flow.Ask("order 2", f.at(b, portData))
+	is.NoErr(err)
+	is.True(answer.Reset())
+}
+
+func TestDrainingUpstreamTakesNoFlows(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	b := f.machine()
+	leaving, _ := f.upstream(f.machine())
+	f.upstream(f.machine())
+	f.balancer(b)
+	c := f.client()
+	flow := f.open(c, 2000, b)
+	leaving.Drain()
+	served := leaving.Served()
+	for n := range 6 {
+		f.ask(f.open(c, uint16(3000+100*n), b), "order", b)
+	}
+	is.Equal(leaving.Served(), served) // no request of a flow that opened since
+	f.ask(flow, "the open flow stays", b)
+}
+
+// Entries lapse while the store is away; flows open on, and the entries are back
+// soon after.
+func TestStoreTrouble(t *testing.T) {
+	tests := []platformtest.Fault{platformtest.FaultBusy, platformtest.FaultSilent, platformtest.FaultReset, platformtest.FaultLostAnswer}
+	for _, fault := range tests {
+		t.Run(string(fault), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			b := f.machine()
+			f.upstream(f.machine())
+			f.balancer(b)
+			c := f.client()
+			f.ask(f.open(c, 2000, b), "before", b)
+			f.store.SetFault(fault)
+			f.store.Revoke()
+			f.ask(f.open(c, 2100, b), "meanwhile", b)
+			f.store.SetFault(platformtest.FaultNone)
+			back := time.Now()
+			f.await("the entry", func() bool { return len(f.store.Keys("bramleyfall/agents/")) == 1 })
+			is.True(time.Since(back) < 2*time.Second)
+			f.ask(f.open(c, 2200, b), "afterwards", b)
+		})
+	}
+}
+
+func TestHistoryLost(t *testing.T) {
+	f := newFleet(t)
+	b := f.machine()
+	f.balancer(b)
+	f.store.SetFault(platformtest.FaultBusy)
+	f.upstreamWhileAway(b)
+}
+
+// upstreamWhileAway has an upstream and a configuration appear in changes whose
+// history is dropped before the balancer could see them.
+func (f *fleet) upstreamWhileAway(balancer string) {
+	m := f.machine()
+	f.agent(m)
+	f.server(m, "i-late")
+	f.store.Put("op/config", fmt.Sprintf(config, 5))
+	f.store.DropHistory()
+	f.store.SetFault(platformtest.FaultNone)
+	f.ask(f.open(f.client(), 2000, balancer), "order", balancer)
+}
+
+// A domain that is taken out gets nothing new; its open flows stay.
+func TestEvacuation(t *testing.T) {
+	f := newFleet(t)
+	b := f.machine()
+	f.upstream(f.machine())
+	f.balancer(b)
+	c := f.client()
+	flow := f.open(c, 2000, b)
+	f.store.Put("op/evacuate/Ikeja", "{}")
+	port := uint16(3000)
+	f.await("a refusal", func() bool {
+		port++
+		opened, answer, err := c.Open(port, route, f.at(b, portData))
+		return err == nil && opened == nil && answer.Reset()
+	})
+	f.ask(flow, "open flows stay", b)
+	f.store.Delete("op/evacuate/Ikeja")
+	f.ask(f.open(c, 4000, b), "back", b)
+}
+
+// A leaving balancer forwards until the fabric has stopped sending, and then
+// ends soon, so that instances stopped one after the other don't overlap.
+func TestLeavingBalancerEndsWhenNothingComes(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	b := f.machine()
+	f.upstream(f.machine())
+	p := f.balancer(b)
+	flow := f.open(f.client(), 2000, b)
+	started := time.Now()
+	p.stop()
+	for time.Since(started) < 600*time.Millisecond {
+		f.ask(flow, "the fabric hasn't noticed", b)
+	}
+	<-p.done
+	is.True(time.Since(started) < 1200*time.Millisecond)
+}
