Let orders wait for an agent that is being restarted

Ruled out: a loss of the upstream; its process was never touched. TestOrdersWaitForTheirAgent failed before.

--- a/placement/placer.go
+++ b/placement/placer.go
@@ -29,8 +29,10 @@
 	// sent something counts as silent: an agent reports ten times a second.
 	SilentAfter time.Duration
 	// LostAfter is the time after which the flows of a silent agent are given up
-	// where a caller waits.
-	LostAfter time.Duration
+	// where a caller waits, and OrderLostAfter that of flows whose requests may
+	// not be repeated: a reset loses them, while an agent that was only restarted
+	// is back by then.
+	LostAfter, OrderLostAfter time.Duration
 	// ProbeEvery is the time between two probes of a silent agent.
 	ProbeEvery time.Duration
 	// UnlistedFor is how long an agent whose entry was removed from the store is
@@ -47,15 +49,16 @@
 // DefaultConfig returns the settings used where options set no others.
 func DefaultConfig() Config {
 	return Config{
-		RemoteCost:    0.25,
-		ColdCost:      0.5,
-		OpeningWithin: 45 * time.Millisecond,
-		SilentAfter:   250 * time.Millisecond,
-		LostAfter:     350 * time.Millisecond,
-		ProbeEvery:    200 * time.Millisecond,
-		UnlistedFor:   20 * time.Second,
-		MaxAsked:      64,
-		MaxTries:      5,
+		RemoteCost:     0.25,
+		ColdCost:       0.5,
+		OpeningWithin:  45 * time.Millisecond,
+		SilentAfter:    250 * time.Millisecond,
+		LostAfter:      350 * time.Millisecond,
+		OrderLostAfter: 1200 * time.Millisecond,
+		ProbeEvery:     200 * time.Millisecond,
+		UnlistedFor:    20 * time.Second,
+		MaxAsked:       64,
+		MaxTries:       5,
 	}
 }
 
@@ -313,7 +316,7 @@
 	if !slices.Contains(f.denied, from) {
 		f.denied = append(f.denied, from)
 	}
-	if !p.lost(f, now) {
+	if !p.lost(flow, f, now) {
 		return Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoOwner, Flow: flow}
 	}
 	return p.resetLost(flow, f)
@@ -321,12 +324,16 @@
 
 // lost reports whether no agent is left that may hold a flow: each has denied it
 // or is silent. When all are silent, it is the balancer that is cut off.
-func (p *Placer) lost(f *placed, now time.Time) bool {
+func (p *Placer) lost(flow bramleyfall.Flow, f *placed, now time.Time) bool {
 	if f.asked < len(p.upstreams) || len(f.denied) == 0 {
 		return false
 	}
+	after := p.config.LostAfter
+	if route := p.snapshot.Routes[flow.Destination]; route != nil && !route.Idempotent {
+		after = p.config.OrderLostAfter
+	}
 	for _, u := range p.upstreams {
-		if !slices.Contains(f.denied, u.Packets) && !u.silent(p.config.LostAfter, now) {
+		if !slices.Contains(f.denied, u.Packets) && !u.silent(after, now) {
 			return false
 		}
 	}
@@ -350,7 +357,7 @@
 		f := p.flows[l.flow]
 		switch {
 		case f == nil || f.asked == 0:
-		case p.lost(f, now):
+		case p.lost(l.flow, f, now):
 			decided(p.resetLost(l.flow, f))
 		case now.Sub(l.at) < lookupFor:
 			kept = append(kept, l)
@@ -361,9 +368,9 @@
 	p.lookups = kept
 }
 
-// lookupFor is how long the owner of a flow is looked for: until the caller has
-// repeated its packet and that is offered again.
-const lookupFor = time.Second
+// lookupFor is how long the owner of a flow is looked for: longer than a silent
+// agent is waited for.
+const lookupFor = 1500 * time.Millisecond
 
 // flowIdle is the time after which the owner of an idle flow is forgotten where
 // the configuration sets none.
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -47,7 +47,7 @@
 }
 
 func snapshot(version bramleyfall.ConfigVersion, services ...bramleyfall.ServiceName) *bramleyfall.Snapshot {
-	route := &bramleyfall.Route{Address: address, Priority: 1}
+	route := &bramleyfall.Route{Address: address, Priority: 1, Idempotent: true}
 	for _, name := range services {
 		route.Targets = append(route.Targets, bramleyfall.Target{Service: name, Weight: 1})
 	}
@@ -183,3 +183,44 @@
 		})
 	}
 }
+
+// A request that may not be repeated is lost for certain when its flow is reset,
+// but not when the agent beside its upstream was only restarted.
+func TestOrdersWaitForTheirAgent(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		after      time.Duration
+		reset      bool
+	}{
+		{"a feed opens another flow", true, 700 * time.Millisecond, true},
+		{"an order waits for a restart", false, 700 * time.Millisecond, false},
+		{"an order doesn't wait for ever", false, 1900 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(3)
+			s := snapshot(2, railbook)
+			s.Routes[address].Idempotent = test.idempotent
+			w.Configure(s)
+			w.Owned(flowOf(1), agent(0), w.now)
+			resets := 0
+			count := func(d placement.Decision) {
+				if d.Kind == bramleyfall.ActionRefuse {
+					resets++
+				}
+			}
+			for elapsed := time.Duration(0); elapsed < test.after; elapsed += 20 * time.Millisecond {
+				w.FromCaller(data(1), w.now)
+				w.report(1, ready(0, 0))
+				w.report(2, ready(0, 0))
+				count(w.NotOwned(flowOf(1), agent(1), w.now))
+				count(w.NotOwned(flowOf(1), agent(2), w.now))
+				w.Tick(w.now, count)
+				w.now = w.now.Add(20 * time.Millisecond)
+			}
+			is.Equal(resets > 0, test.reset)
+		})
+	}
+}
--- a/snapshot.go
+++ b/snapshot.go
@@ -23,6 +23,8 @@
 	Address  Endpoint
 	Targets  []Target
 	Priority Priority
+	// Idempotent is set where callers may repeat a request that failed.
+	Idempotent bool
 	// Objective is the time within which callers want their answers.
 	Objective time.Duration
 }
