--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -19,13 +19,6 @@
 	"bramleyfall.example/bramleyfall/telemetry"
 )
 
-const (
-	route  = "198.18.0.1:443"
-	config = `{"version":%d,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","type":"safe",` +
-		`"target_latency_ms":200,"priority":1,"service":"railbook"}],` +
-		`"services":[{"name":"railbook","max_conns":2000,"cold_s":0,"cold_per_s":0}],"limits":{"idle_timeout_ms":15000}}`
-)
-
 // fleet is a deployment on loopback. Each machine has an address of its own and
 // all use the same ports.
 type fleet struct {
@@ -51,7 +44,7 @@
 	for i := range f.ports {
 		f.ports[i] = freePort(t)
 	}
-	f.store.Put("op/config", fmt.Sprintf(config, 1))
+	f.store.Configure(1, "railbook")
 	return f
 }
 
@@ -186,7 +179,7 @@
 	f.Helper()
 	var flow *platformtest.Flow
 	f.await("a flow", func() bool {
-		opened, _, err := c.Open(port, route, f.at(balancer, portData))
+		opened, _, err := c.Open(port, platformtest.Route, f.at(balancer, portData))
 		flow = opened
 		port++
 		return err == nil && opened != nil
@@ -316,7 +309,7 @@
 	m := f.machine()
 	f.agent(m)
 	f.server(m, "i-late")
-	f.store.Put("op/config", fmt.Sprintf(config, 5))
+	f.store.Configure(5, "railbook")
 	f.store.DropHistory()
 	f.store.SetFault(platformtest.FaultNone)
 	f.ask(f.open(f.client(), 2000, balancer), "order", balancer)
@@ -330,15 +323,15 @@
 	f.balancer(b)
 	c := f.client()
 	flow := f.open(c, 2000, b)
-	f.store.Put("op/evacuate/Ikeja", "{}")
+	f.store.Evacuate("Ikeja", true)
 	port := uint16(3000)
 	f.await("a refusal", func() bool {
 		port++
-		opened, answer, err := c.Open(port, route, f.at(b, portData))
+		opened, answer, err := c.Open(port, platformtest.Route, f.at(b, portData))
 		return err == nil && opened == nil && answer.Reset()
 	})
 	f.ask(flow, "open flows stay", b)
-	f.store.Delete("op/evacuate/Ikeja")
+	f.store.Evacuate("Ikeja", false)
 	f.ask(f.open(c, 4000, b), "back", b)
 }
 
