Look owners up without the packet, and keep it until the answer

Now an agent is asked by 54 bytes and the packet goes to the owner alone; agents of the route's services are asked first, the others only before a reset.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -154,8 +154,8 @@
 	Objective time.Duration
 	// Must is set when all other upstreams have refused the opening.
 	Must bool
-	// Asked is set on a packet whose owner the balancer is looking for.
-	Asked bool
+	// Offered is set on a packet whose owner the balancer is looking for.
+	Offered bool
 }
 
 // FromBalancer decides on a caller's packet: ActionDeliver hands it to the
@@ -193,13 +193,43 @@
 	return bramleyfall.Action{Kind: bramleyfall.ActionDeliver, Flow: p.Flow, Opened: true}
 }
 
+// Holding tells whether the upstream holds a flow.
+type Holding string
+
+// What a gate knows of a flow.
+const (
+	Holds  Holding = "Holds"
+	Denies Holding = "Denies"
+	// MayHold means that the flow may have been open before the gate's start.
+	MayHold Holding = "MayHold"
+)
+
+// Holding reports whether the upstream holds a flow of a service, by the caller's
+// last acknowledgement.
+func (g *Gate) Holding(flow bramleyfall.Flow, service bramleyfall.ServiceKey, ack uint32, now time.Time) Holding {
+	f := g.flows[flow]
+	switch {
+	case f == nil && g.mayPredate(service, now):
+		return MayHold
+	case f == nil, f.state == g.chart.Opening, f.state == g.chart.HalfOpen && ack != f.reply+1:
+		return Denies
+	}
+	return Holds
+}
+
+// mayPredate reports whether flows of a service may have been open before the
+// gate's start.
+func (g *Gate) mayPredate(service bramleyfall.ServiceKey, now time.Time) bool {
+	return service == g.config.Service.Key() && now.Sub(g.started) <= g.lifetime()
+}
+
 // unknown decides on a packet of a flow that the gate doesn't hold. While flows
 // from before its start may exist, the upstream is asked by the packet itself.
 func (g *Gate) unknown(p *bramleyfall.Packet, o Offer, now time.Time) bramleyfall.Action {
-	if p.Kind == bramleyfall.KindReset && o.Asked {
+	if p.Kind == bramleyfall.KindReset && o.Offered {
 		return bramleyfall.Action{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoOwner, Flow: p.Flow}
 	}
-	if o.Service != g.config.Service.Key() || now.Sub(g.started) > g.lifetime() {
+	if !g.mayPredate(o.Service, now) {
 		return pass(p, bramleyfall.NoOwner)
 	}
 	return bramleyfall.Action{Kind: bramleyfall.ActionDeliver, Flow: p.Flow}
--- a/direct/agent.go
+++ b/direct/agent.go
@@ -201,14 +201,14 @@
 	return n
 }
 
-// askedTag marks a packet that was offered to find the owner of its flow. The
+// offeredTag marks a packet that was offered to find the owner of its flow. The
 // rest of a tag is the balancer's number plus one.
-const askedTag = 1 << 31
+const offeredTag = 1 << 31
 
-func tagOf(number uint32, asked bool) uint32 {
+func tagOf(number uint32, offered bool) uint32 {
 	tag := number + 1
-	if asked {
-		tag |= askedTag
+	if offered {
+		tag |= offeredTag
 	}
 	return tag
 }
@@ -233,7 +233,9 @@
 	switch m.Kind {
 	case tunnel.Probe:
 		a.answer(number, &tunnel.Message{Kind: tunnel.Report})
-	case tunnel.Forward, tunnel.Ask:
+	case tunnel.Lookup:
+		a.lookup(&m, number, now)
+	case tunnel.Forward, tunnel.Offer:
 		if err := a.wire.Decode(m.Raw, &a.packet); err != nil {
 			a.malformed(err)
 			return
@@ -242,28 +244,40 @@
 	}
 }
 
+// lookup tells a balancer whether the upstream holds a flow.
+func (a *Agent) lookup(m *tunnel.Message, number uint32, now time.Time) {
+	kind := tunnel.NotOwned
+	switch a.gate.Holding(m.Flow, m.Service, m.Ack, now) {
+	case admission.Holds:
+		kind = tunnel.Owned
+	case admission.MayHold:
+		kind = tunnel.MayOwn
+	}
+	a.answer(number, &tunnel.Message{Kind: kind, Flow: m.Flow})
+}
+
 // callerPacket takes a caller's packet that a balancer forwarded.
 func (a *Agent) callerPacket(m *tunnel.Message, number uint32, now time.Time) {
 	p := &a.packet
-	asked := m.Kind == tunnel.Ask
+	offered := m.Kind == tunnel.Offer
 	action := a.gate.FromBalancer(p, admission.Offer{
-		Service: m.Service, Version: m.Version, Priority: m.Priority, Objective: m.Objective, Must: m.Must, Asked: asked,
+		Service: m.Service, Version: m.Version, Priority: m.Priority, Objective: m.Objective, Must: m.Must, Offered: offered,
 	}, now)
 	if p.Kind == bramleyfall.KindOpening {
 		a.logOpening(&action, m, number, now)
 	}
 	switch action.Kind {
 	case bramleyfall.ActionDeliver:
-		a.wire.SetTag(m.Raw, tagOf(number, asked))
+		a.wire.SetTag(m.Raw, tagOf(number, offered))
 		a.write(a.outbound, m.Raw, a.config.Upstream)
 		switch {
 		case p.Kind == bramleyfall.KindOpening || !action.Opened:
 			a.claim(p.Flow, number)
-		case asked:
+		case offered:
 			a.answer(number, &tunnel.Message{Kind: tunnel.Owned, Flow: p.Flow})
 		}
 	case bramleyfall.ActionPass:
-		a.passBack(p, number, asked, action.Code, m.Raw)
+		a.passBack(p, number, offered, action.Code, m.Raw)
 	}
 }
 
@@ -276,8 +290,8 @@
 }
 
 // passBack tells a balancer that a packet isn't for this upstream.
-func (a *Agent) passBack(p *bramleyfall.Packet, number uint32, asked bool, code bramleyfall.ResultCode, raw []byte) {
-	if asked {
+func (a *Agent) passBack(p *bramleyfall.Packet, number uint32, offered bool, code bramleyfall.ResultCode, raw []byte) {
+	if offered {
 		a.answer(number, &tunnel.Message{Kind: tunnel.NotOwned, Flow: p.Flow})
 		return
 	}
@@ -318,12 +332,12 @@
 	delete(a.claims, p.Flow)
 	a.telemetry.Decision(now).Str("Event", "UpstreamReturned").Str("Flow", p.Flow.String()).
 		Str("Reason", action.Code.String()).Int("Busy", a.gate.Busy()).Msg("")
-	number := tag&^askedTag - 1
+	number := tag&^offeredTag - 1
 	if tag == 0 || int(number) >= len(a.balancers) {
 		return // it was delivered by an agent that ran before
 	}
 	a.wire.SetTag(data, 0)
-	a.passBack(p, number, tag&askedTag != 0, action.Code, data)
+	a.passBack(p, number, tag&offeredTag != 0, action.Code, data)
 }
 
 // answer sends a message with the upstream's load to a balancer.
--- a/direct/balancer.go
+++ b/direct/balancer.go
@@ -202,10 +202,17 @@
 		b.malformed(err)
 		return
 	}
-	d := b.placer.FromCaller(&b.packet, now)
-	b.act(&d, data, now)
-	if b.packet.Kind == bramleyfall.KindOpening {
-		b.logPlaced(&d, now)
+	b.all(b.placer.FromCaller(&b.packet, now), data, now)
+}
+
+// all carries out decisions; raw is the packet at hand, if there is one.
+func (b *Balancer) all(decisions []placement.Decision, raw []byte, now time.Time) {
+	for i := range decisions {
+		d := &decisions[i]
+		b.act(d, raw, now)
+		if d.Placed || d.Kind == bramleyfall.ActionRefuse {
+			b.logPlaced(d, now)
+		}
 	}
 }
 
@@ -232,14 +239,11 @@
 	case tunnel.Return:
 		b.returned(&m, from, now)
 	case tunnel.Owned:
-		b.placer.Owned(m.Flow, from, now)
+		b.all(b.placer.Owned(m.Flow, from, now), nil, now)
+	case tunnel.MayOwn:
+		b.all(b.placer.MayOwn(m.Flow, from, now), nil, now)
 	case tunnel.NotOwned:
-		d := b.placer.NotOwned(m.Flow, from, now)
-		if d.Kind == bramleyfall.ActionRefuse {
-			b.counts.unowned.Inc()
-			b.logPlaced(&d, now)
-		}
-		b.act(&d, nil, now)
+		b.all(b.placer.NotOwned(m.Flow, from, now), nil, now)
 	}
 }
 
@@ -248,11 +252,9 @@
 		b.malformed(err)
 		return
 	}
-	d := b.placer.Returned(&b.packet, from, m.Code, now)
 	b.telemetry.Decision(now).Str("Event", "Returned").Str("Flow", b.packet.Flow.String()).
-		Str("Agent", string(b.placer.Instance(from))).Str("Reason", m.Code.String()).
-		Str("Outcome", string(d.Kind)).Str("Next", string(d.Instance)).Msg("")
-	b.act(&d, m.Raw, now)
+		Str("Agent", string(b.placer.Instance(from))).Str("Reason", m.Code.String()).Msg("")
+	b.all(b.placer.Returned(&b.packet, from, m.Code, now), m.Raw, now)
 }
 
 // tick places openings again that no agent answered for, and probes agents.
@@ -260,10 +262,7 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.placer.Tick(now, func(d placement.Decision) {
-		b.logPlaced(&d, now)
-		b.act(&d, d.Raw, now)
-	})
+	b.all(b.placer.Tick(now), nil, now)
 	for _, target := range b.placer.Probes(now) {
 		b.send(&tunnel.Message{Kind: tunnel.Probe, Service: target.Service, Version: b.placer.Version()}, target.Address)
 	}
@@ -273,30 +272,47 @@
 func (b *Balancer) act(d *placement.Decision, raw []byte, now time.Time) {
 	switch d.Kind {
 	case bramleyfall.ActionPass:
-		kind := tunnel.Forward
-		if d.Ask {
-			kind = tunnel.Ask
+		b.message = tunnel.Message{
+			Kind: kindOf(d), Must: d.Must, Version: b.placer.Version(), Priority: d.Priority, Objective: d.Objective,
+		}
+		switch {
+		case d.Lookup:
 			b.counts.asked.Inc()
+			b.message.Flow, b.message.Ack = d.Flow, d.Ack
+		case d.Raw != nil:
+			b.message.Raw = d.Raw
+		default:
+			b.message.Raw = raw
 		}
 		for _, target := range d.Targets {
-			b.message = tunnel.Message{
-				Kind: kind, Must: d.Must, Version: b.placer.Version(), Service: target.Service,
-				Priority: d.Priority, Objective: d.Objective, Raw: raw,
-			}
+			b.message.Service = target.Service
 			b.send(&b.message, target.Address)
 		}
-		if d.Raw != nil {
+		if d.Placed {
 			b.counts.loadAge.Update(d.LoadAge.Seconds())
 			b.counts.placing.Update(b.clock.Now().Sub(now).Seconds())
 		}
 	case bramleyfall.ActionRefuse:
 		b.counts.refused.Inc()
+		if d.Code == bramleyfall.NoOwner {
+			b.counts.unowned.Inc()
+		}
 		b.buffer = b.wire.AppendReset(b.buffer[:0], d.Reset)
 		caller := bramleyfall.Endpoint{IP: d.Flow.Source.IP, Port: b.config.Packets.Port}
 		b.write(b.callers, caller)
 	}
 }
 
+func kindOf(d *placement.Decision) tunnel.Kind {
+	switch {
+	case d.Lookup:
+		return tunnel.Lookup
+	case d.Offer:
+		return tunnel.Offer
+	}
+	return tunnel.Forward
+}
+
 func (b *Balancer) send(m *tunnel.Message, to bramleyfall.Endpoint) {
 	b.buffer = tunnel.Append(b.buffer[:0], m)
 	b.write(b.agents, to)
--- a/placement/opening.go
+++ b/placement/opening.go
@@ -59,13 +59,11 @@
 	if best == nil {
 		return p.giveUp(flow, f)
 	}
-	best.sent(now)
 	best.placed++
 	f.owner = best
 	p.openings = append(p.openings, opening{flow: flow, at: now, to: best})
-	p.targets = append(p.targets[:0], best.target())
 	return Decision{
-		Kind: bramleyfall.ActionPass, Flow: flow, Targets: p.targets, Must: f.must, Priority: route.Priority, Objective: route.Objective,
+		Kind: bramleyfall.ActionPass, Flow: flow, Targets: p.to(best, now), Placed: true, Must: f.must, Priority: route.Priority, Objective: route.Objective,
 		Instance: best.Instance, Load: best.load, LoadAge: now.Sub(best.loadAt), Raw: f.pending,
 	}
 }
@@ -147,10 +145,10 @@
 }
 
 // Returned decides on a packet that an agent handed back.
-func (p *Placer) Returned(packet *bramleyfall.Packet, from bramleyfall.Endpoint, code bramleyfall.ResultCode, now time.Time) Decision {
-	none := Decision{Kind: bramleyfall.ActionDrop, Code: code, Flow: packet.Flow}
+func (p *Placer) Returned(packet *bramleyfall.Packet, from bramleyfall.Endpoint, code bramleyfall.ResultCode, now time.Time) []Decision {
+	p.begin()
 	if p.snapshot == nil {
-		return none
+		return nil
 	}
 	u := p.upstreams[from]
 	if u != nil && code == bramleyfall.WrongService {
@@ -158,29 +156,29 @@
 	}
 	route := p.snapshot.Routes[packet.Flow.Destination]
 	f := p.flows[packet.Flow]
-	if route == nil || f == nil {
-		return none
+	if route == nil || f == nil || u == nil || f.owner != u {
+		return nil // answered by another meanwhile
 	}
 	if packet.Kind != bramleyfall.KindOpening {
-		if f.owner == nil || f.owner != u {
-			return none // somebody else holds it, or is being looked for
-		}
 		f.owner = nil
-		return p.ask(packet.Flow, f, route, now)
+		p.find(packet, f, route, now)
+		return p.decisions
 	}
-	if f.pending == nil || f.owner != u || u == nil {
-		return none // answered by another meanwhile
+	if f.pending == nil {
+		return nil
 	}
 	f.owner = nil
 	f.tried = append(f.tried, attempt{u, code})
-	return p.place(packet.Flow, f, route, now)
+	p.decide(p.place(packet.Flow, f, route, now))
+	return p.decisions
 }
 
-// Tick places openings again whose agents don't answer, and forgets what is
-// over. It calls decided for each decision.
-func (p *Placer) Tick(now time.Time, decided func(Decision)) {
+// Tick places openings again whose agents don't answer, ends lookups and forgets
+// what is over.
+func (p *Placer) Tick(now time.Time) []Decision {
+	p.begin()
 	p.sweep(now)
-	p.checkLookups(now, decided)
+	p.checkLookups(now)
 	due := 0
 	for due < len(p.openings) && now.Sub(p.openings[due].at) >= p.config.OpeningWithin {
 		due++
@@ -198,6 +196,7 @@
 		}
 		f.owner = nil
 		f.tried = append(f.tried, attempt{o.to, bramleyfall.NotRunUnavailable})
-		decided(p.place(o.flow, f, route, now))
+		p.decide(p.place(o.flow, f, route, now))
 	}
+	return p.decisions
 }
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -6,7 +6,6 @@
 package placement
 
 import (
-	"slices"
 	"time"
 
 	"bramleyfall.example/bramleyfall"
@@ -38,9 +37,9 @@
 	// UnlistedFor is how long an agent whose entry was removed from the store is
 	// kept while it still answers: its lease may have lapsed in an outage.
 	UnlistedFor time.Duration
-	// MaxAsked is the number of agents up to which all are asked for a flow
-	// without a known owner. Where there are more, only those of the route's
-	// services are.
+	// MaxAsked is the number of agents up to which all are asked for a flow that
+	// none of its route's services holds. Where there are more, it may be held by
+	// one that isn't asked, and is never reset.
 	MaxAsked int
 	// MaxTries is the number of upstreams that an opening is offered to.
 	MaxTries int
@@ -75,15 +74,20 @@
 }
 
 // Decision says what is to be done with a packet. ActionPass sends it to all
-// targets, ActionRefuse answers it with a reset, ActionDrop discards it. It is
-// valid until the next call of the Placer.
+// targets, ActionRefuse answers it with a reset, ActionDrop discards it.
+// Decisions are valid until the next call of the Placer.
 type Decision struct {
 	Kind    bramleyfall.ActionKind
 	Code    bramleyfall.ResultCode
 	Flow    bramleyfall.Flow
 	Targets []Target
-	// Ask is set when the owner of the flow is looked for.
-	Ask bool
+	// Lookup is set when the targets are only asked whether they hold the flow,
+	// by the caller's last acknowledgement. Offer is set when the target's
+	// upstream is to be asked by the packet itself.
+	Lookup, Offer bool
+	Ack           uint32
+	// Placed is set when an opening is offered to an upstream.
+	Placed bool
 	// Must is set on an opening that no upstream has a free slot for.
 	Must      bool
 	Priority  bramleyfall.Priority
@@ -109,8 +113,10 @@
 	flows     map[bramleyfall.Flow]*placed
 	openings  []opening
 	lookups   []lookup
-	targets   []Target
 	nextSweep time.Time
+	// targets and decisions back what a call returns.
+	targets   []Target
+	decisions []Decision
 }
 
 // placed is what the balancer knows of a flow.
@@ -126,10 +132,8 @@
 	must    bool
 	// ack is the caller's last acknowledgement.
 	ack uint32
-	// asked counts the agents that were asked for the flow; denied holds those
-	// that have said since that they don't hold it.
-	asked  int
-	denied []bramleyfall.Endpoint
+	// search is what is known of a flow whose owner is looked for.
+	search search
 }
 
 // attempt is an offer of an opening that failed.
@@ -145,12 +149,6 @@
 	to   *upstream
 }
 
-// lookup is an entry of the queue of flows whose owner is looked for.
-type lookup struct {
-	flow bramleyfall.Flow
-	at   time.Time
-}
-
 // New returns a Placer that knows nothing yet.
 func New(options ...Option) *Placer {
 	config := DefaultConfig()
@@ -209,18 +207,29 @@
 	return append(names, name)
 }
 
+// begin forgets what the last call returned.
+func (p *Placer) begin() {
+	p.targets, p.decisions = p.targets[:0], p.decisions[:0]
+}
+
+func (p *Placer) decide(d Decision) { p.decisions = append(p.decisions, d) }
+
 // FromCaller decides on a packet that the fabric handed to the balancer.
-func (p *Placer) FromCaller(packet *bramleyfall.Packet, now time.Time) Decision {
+func (p *Placer) FromCaller(packet *bramleyfall.Packet, now time.Time) []Decision {
+	p.begin()
 	if p.snapshot == nil {
-		return Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.StaleInstance, Flow: packet.Flow}
+		p.decide(Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.StaleInstance, Flow: packet.Flow})
+		return p.decisions
 	}
 	route := p.snapshot.Routes[packet.Flow.Destination]
 	if route == nil {
-		return p.refuse(packet, bramleyfall.UnknownService)
+		p.decide(p.refuse(packet, bramleyfall.UnknownService))
+		return p.decisions
 	}
 	f := p.flows[packet.Flow]
 	if packet.Kind == bramleyfall.KindOpening {
-		return p.open(packet, f, route, now)
+		p.decide(p.open(packet, f, route, now))
+		return p.decisions
 	}
 	if f == nil {
 		f = &placed{}
@@ -230,50 +239,26 @@
 	if packet.HasAck {
 		f.ack = packet.Ack
 	}
-	if f.owner != nil && !f.owner.silent(p.config.SilentAfter, now) {
-		return p.forward(packet.Flow, f.owner, now)
+	silent := f.owner != nil && f.owner.silent(p.config.SilentAfter, now)
+	if f.owner != nil {
+		p.decide(p.forward(packet.Flow, f.owner, now))
 	}
-	return p.ask(packet.Flow, f, route, now)
+	if f.owner == nil || silent {
+		p.find(packet, f, route, now)
+	}
+	return p.decisions
 }
 
 // forward sends a packet to the agent that holds its flow.
 func (p *Placer) forward(flow bramleyfall.Flow, u *upstream, now time.Time) Decision {
-	u.sent(now)
-	p.targets = append(p.targets[:0], u.target())
-	return Decision{Kind: bramleyfall.ActionPass, Flow: flow, Targets: p.targets, Instance: u.Instance}
-}
-
-// ask offers a packet to all agents that may hold its flow. They answer whether
-// they do.
-func (p *Placer) ask(flow bramleyfall.Flow, f *placed, route *bramleyfall.Route, now time.Time) Decision {
-	p.targets = p.targets[:0]
-	if len(p.upstreams) <= p.config.MaxAsked {
-		for _, upstreams := range p.services {
-			p.askEach(upstreams, now)
-		}
-	} else {
-		for _, t := range route.Targets {
-			p.askEach(p.services[t.Service], now)
-		}
-		for _, name := range p.former[route.Address] {
-			p.askEach(p.services[name], now)
-		}
-	}
-	if f.asked == 0 {
-		p.lookups = append(p.lookups, lookup{flow, now})
-	}
-	f.asked, f.denied = len(p.targets), f.denied[:0]
-	if len(p.targets) == 0 {
-		return Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoUpstream, Flow: flow}
-	}
-	return Decision{Kind: bramleyfall.ActionPass, Code: bramleyfall.NoOwner, Flow: flow, Targets: p.targets, Ask: true}
+	return Decision{Kind: bramleyfall.ActionPass, Flow: flow, Targets: p.to(u, now), Instance: u.Instance}
 }
 
-func (p *Placer) askEach(upstreams []*upstream, now time.Time) {
-	for _, u := range upstreams {
-		u.sent(now)
-		p.targets = append(p.targets, u.target())
-	}
+// to returns an agent as the only target of a decision.
+func (p *Placer) to(u *upstream, now time.Time) []Target {
+	u.sent(now)
+	p.targets = append(p.targets, u.target())
+	return p.targets[len(p.targets)-1:]
 }
 
 // refuse answers a packet with a reset. Nothing was run for an opening.
@@ -287,91 +272,6 @@
 	return d
 }
 
-// Owned notes that an agent's upstream holds a flow.
-func (p *Placer) Owned(flow bramleyfall.Flow, from bramleyfall.Endpoint, now time.Time) {
-	u := p.upstreams[from]
-	if u == nil {
-		return
-	}
-	f := p.flows[flow]
-	if f == nil {
-		f = &placed{lastUse: now}
-		p.flows[flow] = f
-	}
-	f.owner = u
-	f.pending, f.tried, f.asked = nil, nil, 0
-}
-
-// NotOwned notes that an agent's upstream doesn't hold a flow. When no agent is
-// left that may, its upstream is gone and the caller is told at once, so that it
-// can open another.
-func (p *Placer) NotOwned(flow bramleyfall.Flow, from bramleyfall.Endpoint, now time.Time) Decision {
-	f := p.flows[flow]
-	if f == nil || f.asked == 0 {
-		return Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoOwner, Flow: flow}
-	}
-	if f.owner != nil && f.owner.Packets == from {
-		f.owner = nil
-	}
-	if !slices.Contains(f.denied, from) {
-		f.denied = append(f.denied, from)
-	}
-	if !p.lost(flow, f, now) {
-		return Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoOwner, Flow: flow}
-	}
-	return p.resetLost(flow, f)
-}
-
-// lost reports whether no agent is left that may hold a flow: each has denied it
-// or is silent. When all are silent, it is the balancer that is cut off.
-func (p *Placer) lost(flow bramleyfall.Flow, f *placed, now time.Time) bool {
-	if f.asked < len(p.upstreams) || len(f.denied) == 0 {
-		return false
-	}
-	after := p.config.LostAfter
-	if route := p.snapshot.Routes[flow.Destination]; route != nil && !route.Idempotent {
-		after = p.config.OrderLostAfter
-	}
-	for _, u := range p.upstreams {
-		if !slices.Contains(f.denied, u.Packets) && !u.silent(after, now) {
-			return false
-		}
-	}
-	return true
-}
-
-func (p *Placer) resetLost(flow bramleyfall.Flow, f *placed) Decision {
-	ack := f.ack
-	delete(p.flows, flow)
-	return Decision{
-		Kind: bramleyfall.ActionRefuse, Code: bramleyfall.NoOwner, Flow: flow,
-		Reset: &bramleyfall.Segment{Flow: flow.Reverse(), Sequence: ack, Reset: true},
-	}
-}
-
-// checkLookups resets the flows whose last possible owners have gone silent
-// since their packet was offered.
-func (p *Placer) checkLookups(now time.Time, decided func(Decision)) {
-	kept := p.lookups[:0]
-	for _, l := range p.lookups {
-		f := p.flows[l.flow]
-		switch {
-		case f == nil || f.asked == 0:
-		case p.lost(l.flow, f, now):
-			decided(p.resetLost(l.flow, f))
-		case now.Sub(l.at) < lookupFor:
-			kept = append(kept, l)
-		default:
-			f.asked = 0
-		}
-	}
-	p.lookups = kept
-}
-
-// lookupFor is how long the owner of a flow is looked for: longer than a silent
-// agent is waited for.
-const lookupFor = 1500 * time.Millisecond
-
 // flowIdle is the time after which the owner of an idle flow is forgotten where
 // the configuration sets none.
 const flowIdle = time.Minute
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -152,7 +152,7 @@
 
 // Probes returns the silent agents that are to be asked for a report.
 func (p *Placer) Probes(now time.Time) []Target {
-	p.targets = p.targets[:0]
+	p.begin()
 	for _, u := range p.upstreams {
 		due := u.silent(p.config.ProbeEvery, now) || !u.unlistedAt.IsZero()
 		if due && now.Sub(u.lastProbe) >= p.config.ProbeEvery {
--- a/tunnel/message.go
+++ b/tunnel/message.go
@@ -18,9 +18,11 @@
 	// Forward carries a caller's packet to the agent that it was placed at, or
 	// that holds its flow.
 	Forward Kind = iota + 1
-	// Ask carries a caller's packet of a flow whose owner the balancer doesn't
-	// know to every agent that may hold it.
-	Ask
+	// Lookup asks an agent whether its upstream holds a flow.
+	Lookup
+	// Offer carries a caller's packet to an agent that can't tell whether its
+	// upstream holds the flow.
+	Offer
 	// Probe asks an agent for a report.
 	Probe
 	// Return hands a forwarded packet back to the balancer, with the reason.
@@ -29,6 +31,8 @@
 	Owned
 	// NotOwned tells a balancer that the agent's upstream doesn't hold a flow.
 	NotOwned
+	// MayOwn tells a balancer that the agent, which has started lately, can't tell.
+	MayOwn
 	// Report carries the load alone.
 	Report
 	lastKind = Report
@@ -52,8 +56,10 @@
 	// Load and Boot are the upstream's, in messages of agents.
 	Load bramleyfall.Load
 	Boot bramleyfall.BootID
-	// Flow names the flow in Owned and NotOwned.
+	// Flow names the flow in lookups and their answers, and Ack the caller's last
+	// acknowledgement on it.
 	Flow bramleyfall.Flow
+	Ack  uint32
 	// Raw is the packet. It aliases the buffer that was decoded.
 	Raw []byte
 }
@@ -78,7 +84,8 @@
 	offsetTarget     = 42
 	offsetTargetPort = 46
 	offsetObjective  = 48
-	headSize         = 50
+	offsetAck        = 50
+	headSize         = 54
 )
 
 var states = []bramleyfall.UpstreamState{
@@ -116,6 +123,7 @@
 	copy(head[offsetSource:], m.Flow.Source.IP[:])
 	binary.BigEndian.PutUint16(head[offsetSourcePort:], m.Flow.Source.Port)
 	binary.BigEndian.PutUint16(head[offsetObjective:], uint16(min(m.Objective.Milliseconds(), math.MaxUint16)))
+	binary.BigEndian.PutUint32(head[offsetAck:], m.Ack)
 	copy(head[offsetTarget:], m.Flow.Destination.IP[:])
 	binary.BigEndian.PutUint16(head[offsetTargetPort:], m.Flow.Destination.Port)
 	return append(append(b, head[:]...), m.Raw...)
@@ -147,6 +155,7 @@
 			Destination: endpoint(b, offsetTarget, offsetTargetPort),
 			Protocol:    bramleyfall.TCP,
 		},
+		Ack: binary.BigEndian.Uint32(b[offsetAck:]),
 		Raw: b[headSize:],
 	}
 	return nil
