--- a/directory/announcer.go
+++ b/directory/announcer.go
@@ -14,8 +14,9 @@
 const (
 	// leaseTTL is the time after which the entry of an agent that stopped is
 	// removed. Balancers notice sooner by the packets that it leaves unanswered.
-	leaseTTL = 6 * time.Second
-	// renewEvery leaves room for two renewals that fail.
+	leaseTTL = 8 * time.Second
+	// renewEvery is the time in which an agent notices that its entry is gone, and
+	// leaves room for renewals that fail.
 	renewEvery = leaseTTL / 4
 )
 
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -13,9 +13,13 @@
 )
 
 const (
-	// watchWait is the longest wait of a watch. A connection that went silent is
-	// found by keep-alive probes sooner; this bounds what they miss.
-	watchWait = 8 * time.Second
+	// watchWait is the longest wait of a watch; the store allows 30 s. A connection
+	// that went silent is found sooner, by keep-alive probes, and a configuration
+	// that it held back by the versions in peers' messages.
+	watchWait = 25 * time.Second
+	// settleFor is the pause after a watch that brought changes, so that changes
+	// in quick succession come by one call. It is a fraction of any bound.
+	settleFor = 250 * time.Millisecond
 	// firstRetry and lastRetry bound the pauses between calls that failed. The
 	// last one leaves a store that turned calls away two tries a second.
 	firstRetry = 50 * time.Millisecond
@@ -128,6 +132,7 @@
 		}
 		if next.Version != s.Version || len(next.Out) != len(s.Out) || !sameOut(next, s) {
 			f.take(next)
+			sleep(ctx, settleFor)
 		}
 		s = next
 	}
--- a/directory/members.go
+++ b/directory/members.go
@@ -81,6 +81,9 @@
 			r.change(change)
 		}
 		revision = next
+		if len(changes) > 0 {
+			sleep(ctx, settleFor)
+		}
 	}
 }
 
