Deny unknown flows at once where the upstream started with its agent

Ruled out: slow starts; every agent had its heartbeat within 0.2 s. TestFlowsFromBeforeTheStart failed before.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -220,7 +220,7 @@
 // mayPredate reports whether flows of a service may have been open before the
 // gate's start.
 func (g *Gate) mayPredate(service bramleyfall.ServiceKey, now time.Time) bool {
-	return service == g.config.Service.Key() && now.Sub(g.started) <= g.lifetime()
+	return service == g.config.Service.Key() && !g.upstream.young && now.Sub(g.started) <= g.lifetime()
 }
 
 // unknown decides on a packet of a flow that the gate doesn't hold. While flows
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -218,3 +218,34 @@
 	is.True(b.beat(bramleyfall.Heartbeat{Boot: 3000, Sequence: 1}))
 	is.Equal(b.State(b.now), bramleyfall.UpstreamReady)
 }
+
+// Agents and upstreams start together after a loss of power. An upstream that has
+// just started holds no flow that its agent hasn't seen; one that ran before its
+// agent may.
+func TestFlowsFromBeforeTheStart(t *testing.T) {
+	tests := []struct {
+		name  string
+		first uint64 // sequence of the first heartbeat that the agent hears
+		want  admission.Holding
+	}{
+		{"no heartbeat yet", 0, admission.MayHold},
+		{"the upstream started with the agent", 1, admission.Denies},
+		{"its first heartbeat was missed", 2, admission.Denies},
+		{"the upstream ran before", 7, admission.MayHold},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			gate, err := admission.New(start, admission.WithService(railbook), admission.WithHeartbeat(time.Second))
+			is.NoErr(err)
+			b := &beside{T: t, Gate: gate, now: start}
+			b.Configure(snapshot(1, 0), b.now)
+			if test.first > 0 {
+				is.True(b.beat(bramleyfall.Heartbeat{Sequence: test.first}))
+			}
+			is.Equal(b.Holding(flowOf(1), railbook.Key(), 901, b.now), test.want)
+			b.after(20 * time.Second) // longer than any idle flow lasts
+			is.Equal(b.Holding(flowOf(1), railbook.Key(), 901, b.now), admission.Denies)
+		})
+	}
+}
--- a/admission/upstream.go
+++ b/admission/upstream.go
@@ -15,6 +15,9 @@
 	slots    int
 	draining bool
 	left     bool
+	// young is set when it started after the gate, or so shortly before that it
+	// holds no flow that the gate hasn't seen.
+	young bool
 	// coldUntil is until when it is slow after its start.
 	coldUntil time.Time
 	// lastBeat is when its last heartbeat came.
@@ -43,6 +46,11 @@
 	}
 }
 
+// firstHeartbeats is the sequence up to which a heartbeat is one of the first of
+// a run. Both start together after a loss of power; the upstream's first
+// heartbeat may find nobody.
+const firstHeartbeats = 2
+
 // Heartbeat takes what the upstream says of itself. It reports whether the
 // heartbeat is news; late ones and those of earlier runs are not. When it is of
 // a new run, the resets are for the callers whose flows ended with the old one.
@@ -57,7 +65,7 @@
 		if u.boot != 0 {
 			lost = g.endFlows(now)
 		}
-		*u = upstream{id: h.Upstream, boot: h.Boot}
+		*u = upstream{id: h.Upstream, boot: h.Boot, young: u.boot != 0 || h.Sequence <= firstHeartbeats}
 	}
 	u.sequence, u.domain, u.slots, u.draining = h.Sequence, h.Domain, h.Slots, h.Draining
 	u.coldUntil = now.Add(h.ColdFor)
