--- a/direct/balancer.go
+++ b/direct/balancer.go
@@ -332,7 +332,7 @@
 		Str("Outcome", string(d.Kind)).Str("Reason", d.Code.String()).Uint64("Version", uint64(b.placer.Version()))
 	if d.Instance != "" {
 		e = e.Str("Agent", string(d.Instance)).Uint16("Busy", d.Load.Busy).Uint16("Slots", d.Load.Slots).
-			Uint16("Utilization", d.Load.Utilization).Dur("LoadAge", d.LoadAge).Bool("Must", d.Must)
+			Uint16("Utilization", d.Load.Utilization).Int64("LoadAgeMS", d.LoadAge.Milliseconds()).Bool("Must", d.Must)
 	}
 	e.Msg("")
 }
