Leave upstreams alone that break requests off

They answered openings and then broke the requests off; their slots looked free, so that they drew ever more flows: side-ife-2 admitted 60 in a second, all in vain. Ruled out: agents that were away (the resets came from the upstreams). The agent now judges its upstream by the requests that it breaks off: two in a row, or over a third, or a second restart within 10 s, and it is offered nothing for 1 to 8 s, then single requests that may be repeated. Where all upstreams of a service fail, they are used as before. Tests: TestFailingUpstreamIsLeftAlone, TestFlappingUpstream, TestFailingUpstreamsComeLast failed before.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -67,6 +67,7 @@
 	cold     window
 	use      meter
 	work     workTime
+	outcomes outcomes
 	// live counts flows that are not closed, busy those with a request under way.
 	live, busy int
 	leaving    bool
@@ -152,6 +153,8 @@
 	Priority bramleyfall.Priority
 	// Objective is the time within which callers want their answers, or zero.
 	Objective time.Duration
+	// Idempotent is set where the requests may be repeated.
+	Idempotent bool
 	// Must is set when all other upstreams have refused the opening.
 	Must bool
 	// Offered is set on a packet whose owner the balancer is looking for.
@@ -273,11 +276,16 @@
 		}
 		g.fire(f, g.chart.Accepted, now)
 	case bramleyfall.KindFinish:
+		g.noteBroken(f, p, now)
 		g.fire(f, g.chart.UpstreamFin, now)
 	case bramleyfall.KindReset:
+		g.noteBroken(f, p, now)
 		g.fire(f, g.chart.Reset, now)
 	}
 	if p.Length > 0 {
+		if f.waiting {
+			g.outcomes.succeeded()
+		}
 		g.setWaiting(f, false, now)
 		g.work.learn(f.asked, now)
 		f.asked = time.Time{}
@@ -285,6 +293,13 @@
 	return action
 }
 
+// noteBroken notes a request that the upstream ended without a byte of answer.
+func (g *Gate) noteBroken(f *flow, p *bramleyfall.Packet, now time.Time) {
+	if f.waiting && f.state != g.chart.Opening && f.state != g.chart.HalfOpen && p.Length == 0 {
+		g.outcomes.failed(now)
+	}
+}
+
 // Returned decides on a packet that the upstream didn't take.
 func (g *Gate) Returned(p *bramleyfall.Packet, now time.Time) bramleyfall.Action {
 	g.upstream.heard()
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -215,6 +215,7 @@
 	is.True(!b.beat(bramleyfall.Heartbeat{Boot: 2000, Sequence: 6})) // late
 	is.True(!b.beat(bramleyfall.Heartbeat{Boot: 1000, Sequence: 9})) // of the run before
 	is.Equal(b.State(b.now), bramleyfall.UpstreamDraining)
+	b.after(11 * time.Second) // restarts in quick succession count as failures
 	is.True(b.beat(bramleyfall.Heartbeat{Boot: 3000, Sequence: 1}))
 	is.Equal(b.State(b.now), bramleyfall.UpstreamReady)
 }
@@ -249,3 +250,80 @@
 		})
 	}
 }
+
+// reset has the upstream break flow n off.
+func (b *beside) reset(n int) {
+	b.FromUpstream(fromUpstream(n, bramleyfall.KindReset, 901, 0), b.now)
+}
+
+// An upstream accepts flows and breaks them off at their requests, behind good
+// heartbeats. Its slots look free, so that it would draw more and more flows.
+func TestFailingUpstreamIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	b := newBeside(t)
+	for n := range 2 {
+		is.Equal(b.open(n, offer), bramleyfall.OK)
+		b.request(n)
+		b.reset(n)
+	}
+	is.Equal(b.State(b.now), bramleyfall.UpstreamFailing)
+	is.Equal(b.open(2, offer), bramleyfall.NotRunFailing)
+	is.Equal(b.open(3, must), bramleyfall.OK) // nobody else takes it
+	b.request(3)
+	b.answer(3)
+
+	b.after(1100 * time.Millisecond)
+	b.beat(bramleyfall.Heartbeat{})
+	is.Equal(b.State(b.now), bramleyfall.UpstreamTrial)
+	is.Equal(b.open(4, offer), bramleyfall.NotRunFailing) // an order is no trial
+	safe := offer
+	safe.Idempotent = true
+	is.Equal(b.open(5, safe), bramleyfall.OK)
+	is.Equal(b.open(6, safe), bramleyfall.NotRunFailing) // one at a time
+	b.request(5)
+	b.reset(5)
+	is.Equal(b.State(b.now), bramleyfall.UpstreamFailing)
+	b.after(1100 * time.Millisecond)
+	b.beat(bramleyfall.Heartbeat{})
+	is.Equal(b.State(b.now), bramleyfall.UpstreamFailing) // it waits longer each time
+	b.after(time.Second)
+	b.beat(bramleyfall.Heartbeat{})
+	for n := range 3 {
+		is.Equal(b.open(10+n, safe), bramleyfall.OK)
+		b.request(10 + n)
+		b.answer(10 + n)
+		b.after(300 * time.Millisecond)
+	}
+	is.Equal(b.State(b.now), bramleyfall.UpstreamReady)
+}
+
+// One request in many fails: that is no reason to lose the upstream.
+func TestOneFailureIsNone(t *testing.T) {
+	is := is.New(t)
+	b := newBeside(t)
+	for n := range 40 {
+		is.Equal(b.open(n, offer), bramleyfall.OK)
+		b.request(n)
+		if n%10 == 9 {
+			b.reset(n)
+		} else {
+			b.answer(n)
+			b.reset(n) // after the answer: not a failure
+		}
+		is.Equal(b.State(b.now), bramleyfall.UpstreamReady)
+	}
+}
+
+// An upstream that goes down and up by turns has to prove itself each time.
+func TestFlappingUpstream(t *testing.T) {
+	is := is.New(t)
+	b := newBeside(t)
+	is.Equal(b.open(1, offer), bramleyfall.OK)
+	b.request(1)
+	b.after(time.Second)
+	b.beat(bramleyfall.Heartbeat{Boot: 2000})
+	is.Equal(b.State(b.now), bramleyfall.UpstreamReady) // a restart is not held against it
+	b.after(2 * time.Second)
+	b.beat(bramleyfall.Heartbeat{Boot: 3000})
+	is.Equal(b.State(b.now), bramleyfall.UpstreamFailing)
+}
--- a/admission/opening.go
+++ b/admission/opening.go
@@ -50,6 +50,14 @@
 		return bramleyfall.NotRunUnavailable
 	case bramleyfall.UpstreamDraining:
 		return bramleyfall.NotRunDraining
+	case bramleyfall.UpstreamFailing:
+		if !o.Must {
+			return bramleyfall.NotRunFailing
+		}
+	case bramleyfall.UpstreamTrial:
+		if !o.Must && (!o.Idempotent || g.busy > 0) {
+			return bramleyfall.NotRunFailing
+		}
 	case bramleyfall.UpstreamCold:
 		if limits.ColdRate > 0 && g.cold.count(now) >= coldLimit(limits.ColdRate) {
 			return bramleyfall.NotRunWarmUp
--- a/admission/upstream.go
+++ b/admission/upstream.go
@@ -64,6 +64,7 @@
 	if !sameRun {
 		if u.boot != 0 {
 			lost = g.endFlows(now)
+			g.outcomes.restarted(now)
 		}
 		*u = upstream{id: h.Upstream, boot: h.Boot, young: u.boot != 0 || h.Sequence <= firstHeartbeats}
 	}
@@ -116,6 +117,10 @@
 		return bramleyfall.UpstreamDraining
 	case g.away(now) || g.silent(now):
 		return bramleyfall.UpstreamSilent
+	case g.outcomes.ejected(now):
+		return bramleyfall.UpstreamFailing
+	case g.outcomes.onTrial:
+		return bramleyfall.UpstreamTrial
 	case u.cold(now):
 		return bramleyfall.UpstreamCold
 	}
--- a/direct/agent.go
+++ b/direct/agent.go
@@ -261,7 +261,8 @@
 	p := &a.packet
 	offered := m.Kind == tunnel.Offer
 	action := a.gate.FromBalancer(p, admission.Offer{
-		Service: m.Service, Version: m.Version, Priority: m.Priority, Objective: m.Objective, Must: m.Must, Offered: offered,
+		Service: m.Service, Version: m.Version, Priority: m.Priority, Objective: m.Objective, Must: m.Must,
+		Idempotent: m.Idempotent, Offered: offered,
 	}, now)
 	if p.Kind == bramleyfall.KindOpening {
 		a.logOpening(&action, m, number, now)
--- a/direct/balancer.go
+++ b/direct/balancer.go
@@ -274,6 +274,7 @@
 	case bramleyfall.ActionPass:
 		b.message = tunnel.Message{
 			Kind: kindOf(d), Must: d.Must, Version: b.placer.Version(), Priority: d.Priority, Objective: d.Objective,
+			Idempotent: d.Idempotent,
 		}
 		switch {
 		case d.Lookup:
--- a/placement/opening.go
+++ b/placement/opening.go
@@ -49,21 +49,23 @@
 	if len(f.tried) >= p.config.MaxTries {
 		return p.giveUp(flow, f)
 	}
-	best, anyFree := p.best(flow, f, now)
+	best, anyFree := p.best(flow, f, route, now)
 	if !anyFree && !f.must {
 		// Only those that refused for want of a slot are asked again.
 		f.must = true
 		f.tried = keepHopeless(f.tried)
-		best, _ = p.best(flow, f, now)
+		best, _ = p.best(flow, f, route, now)
 	}
 	if best == nil {
 		return p.giveUp(flow, f)
 	}
 	best.placed++
+	best.lastPlaced = now
 	f.owner = best
 	p.openings = append(p.openings, opening{flow: flow, at: now, to: best})
 	return Decision{
-		Kind: bramleyfall.ActionPass, Flow: flow, Targets: p.to(best, now), Placed: true, Must: f.must, Priority: route.Priority, Objective: route.Objective,
+		Kind: bramleyfall.ActionPass, Flow: flow, Targets: p.to(best, now), Placed: true, Must: f.must,
+		Priority: route.Priority, Objective: route.Objective, Idempotent: route.Idempotent,
 		Instance: best.Instance, Load: best.load, LoadAge: now.Sub(best.loadAt), Raw: f.pending,
 	}
 }
@@ -81,7 +83,7 @@
 
 // best returns the upstream with the least cost that hasn't failed the opening,
 // and whether one is believed to have a free slot.
-func (p *Placer) best(flow bramleyfall.Flow, f *placed, now time.Time) (*upstream, bool) {
+func (p *Placer) best(flow bramleyfall.Flow, f *placed, route *bramleyfall.Route, now time.Time) (*upstream, bool) {
 	var best *upstream
 	var least float64
 	anyFree := false
@@ -90,7 +92,7 @@
 		if p.snapshot.Out[u.Domain] || !u.takes(&p.config, now) || f.hasTried(u) {
 			continue
 		}
-		cost := p.cost(u, hash, now)
+		cost := p.cost(u, hash, route.Idempotent, now)
 		full := u.full(now)
 		anyFree = anyFree || !full
 		if full && !f.must {
@@ -110,18 +112,41 @@
 // that balancers with the same knowledge don't all choose the same upstream.
 const spreadCost = 0.06
 
-func (p *Placer) cost(u *upstream, hash uint64, now time.Time) float64 {
+func (p *Placer) cost(u *upstream, hash uint64, idempotent bool, now time.Time) float64 {
 	cost := u.use(now)
 	if u.Domain != p.config.Domain {
 		cost += p.config.RemoteCost
 	}
-	if u.load.State == bramleyfall.UpstreamCold {
+	switch u.load.State {
+	case bramleyfall.UpstreamCold:
 		cost += p.config.ColdCost
+	case bramleyfall.UpstreamFailing:
+		cost += failingCost
+	case bramleyfall.UpstreamTrial:
+		cost += trialCost(u, idempotent, now)
 	}
 	const buckets = 1 << 10
 	return cost + spreadCost*float64(bramleyfall.KeyOf(string(u.Instance)).Score(hash)%buckets)/buckets
 }
 
+const (
+	// failingCost puts upstreams that break requests off after all others, also
+	// after those that would queue.
+	failingCost = 20
+	// trialEvery is the time between two openings that a balancer tries an
+	// upstream by which was failing.
+	trialEvery = 500 * time.Millisecond
+)
+
+// trialCost lets one opening through from time to time, of those whose requests
+// may be repeated.
+func trialCost(u *upstream, idempotent bool, now time.Time) float64 {
+	if idempotent && now.Sub(u.lastPlaced) >= trialEvery {
+		return 0
+	}
+	return failingCost
+}
+
 func (f *placed) hasTried(u *upstream) bool {
 	for _, a := range f.tried {
 		if a.upstream == u {
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -92,6 +92,8 @@
 	Must      bool
 	Priority  bramleyfall.Priority
 	Objective time.Duration
+	// Idempotent is set where the requests of an opening may be repeated.
+	Idempotent bool
 	// Instance is the agent of the first target, and Load what it said last, for
 	// the log; LoadAge is how old that is.
 	Instance bramleyfall.InstanceID
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -243,3 +243,37 @@
 		})
 	}
 }
+
+// A failing upstream gets openings only where nobody else takes them, and on
+// trial one from time to time, but no order.
+func TestFailingUpstreamsComeLast(t *testing.T) {
+	failing := bramleyfall.Load{State: bramleyfall.UpstreamFailing, Slots: 2}
+	trial := bramleyfall.Load{State: bramleyfall.UpstreamTrial, Slots: 2}
+	tests := []struct {
+		name       string
+		first      bramleyfall.Load
+		others     bramleyfall.Load
+		idempotent bool
+		toFirst    bool
+	}{
+		{"others are busy", failing, ready(1, 900), true, false},
+		{"others queue", failing, ready(4, 1000), true, false},
+		{"others fail as well", failing, failing, true, true},
+		{"on trial", trial, ready(1, 900), true, true},
+		{"an order is no trial", trial, ready(1, 900), false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(3)
+			s := snapshot(2, railbook)
+			s.Routes[address].Idempotent = test.idempotent
+			w.Configure(s)
+			w.report(0, test.first)
+			w.report(1, test.others)
+			w.report(2, test.others)
+			d := w.FromCaller(opening(1), w.now)
+			is.Equal(d[0].Targets[0].Address == agent(0), test.toFirst)
+		})
+	}
+}
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -14,6 +14,8 @@
 	loadAt time.Time
 	// placed counts the openings that were sent since the load was told.
 	placed int
+	// lastPlaced is when the last opening was sent.
+	lastPlaced time.Time
 	// sentSince is when the first message was sent that the agent hasn't
 	// followed with one of its own, or zero.
 	sentSince time.Time
--- a/result.go
+++ b/result.go
@@ -34,6 +34,7 @@
 	NotRunClass       ResultCode = 205
 	NotRunUnavailable ResultCode = 206
 	PassedForBalance  ResultCode = 207
+	NotRunFailing     ResultCode = 208
 
 	InForce     ResultCode = 300
 	Accepted    ResultCode = 301
@@ -65,7 +66,7 @@
 	OpeningAbandoned: "OpeningAbandoned",
 	NotRunWarmUp:     "NotRunWarmUp", NotRunFull: "NotRunFull", NotRunDraining: "NotRunDraining",
 	NotRunDomainOut: "NotRunDomainOut", NotRunClass: "NotRunClass", NotRunUnavailable: "NotRunUnavailable",
-	PassedForBalance: "PassedForBalance",
+	PassedForBalance: "PassedForBalance", NotRunFailing: "NotRunFailing",
 	InForce:          "InForce", Accepted: "Accepted", NotAccepted: "NotAccepted", LostRace: "LostRace",
 	Unknown: "Unknown", NoService: "NoService", Unsafe: "Unsafe",
 	PlatformAway: "PlatformAway", PlatformRolledBack: "PlatformRolledBack",
--- a/snapshot.go
+++ b/snapshot.go
@@ -130,6 +130,11 @@
 	UpstreamCold UpstreamState = "Cold"
 	// UpstreamReady takes new flows.
 	UpstreamReady UpstreamState = "Ready"
+	// UpstreamFailing breaks requests off. It takes new flows only where nobody
+	// else does.
+	UpstreamFailing UpstreamState = "Failing"
+	// UpstreamTrial was failing and takes single requests that may be repeated.
+	UpstreamTrial UpstreamState = "Trial"
 	// UpstreamDraining takes no new flows.
 	UpstreamDraining UpstreamState = "Draining"
 	// UpstreamSilent does not answer packets.
--- a/tunnel/message.go
+++ b/tunnel/message.go
@@ -41,8 +41,9 @@
 // Message is a message between a balancer and an agent.
 type Message struct {
 	Kind Kind
-	// Must is set on an opening that every other upstream has refused.
-	Must bool
+	// Must is set on an opening that every other upstream has refused, Idempotent
+	// on one whose requests may be repeated.
+	Must, Idempotent bool
 	// Code is why a packet is returned.
 	Code bramleyfall.ResultCode
 	// Version is the sender's version of the configuration.
@@ -64,11 +65,17 @@
 	Raw []byte
 }
 
+// The bits of the flags.
+const (
+	flagMust       = 1
+	flagIdempotent = 2
+)
+
 // The head of a message, in network byte order.
 const (
 	magic            = 0xB7
 	offsetKind       = 1
-	offsetMust       = 2
+	offsetFlags      = 2
 	offsetPriority   = 3
 	offsetCode       = 4
 	offsetState      = 6
@@ -90,7 +97,7 @@
 
 var states = []bramleyfall.UpstreamState{
 	bramleyfall.UpstreamUnknown, bramleyfall.UpstreamCold, bramleyfall.UpstreamReady,
-	bramleyfall.UpstreamDraining, bramleyfall.UpstreamSilent,
+	bramleyfall.UpstreamDraining, bramleyfall.UpstreamSilent, bramleyfall.UpstreamFailing, bramleyfall.UpstreamTrial,
 }
 
 func stateNumber(state bramleyfall.UpstreamState) byte {
@@ -108,7 +115,10 @@
 	head[0] = magic
 	head[offsetKind] = byte(m.Kind)
 	if m.Must {
-		head[offsetMust] = 1
+		head[offsetFlags] |= flagMust
+	}
+	if m.Idempotent {
+		head[offsetFlags] |= flagIdempotent
 	}
 	head[offsetPriority] = byte(m.Priority)
 	head[offsetState] = stateNumber(m.Load.State)
@@ -135,13 +145,14 @@
 		return bramleyfall.Errorf(bramleyfall.MalformedMessage, "%d bytes are not a message between balancer and agent", len(b))
 	}
 	*m = Message{
-		Kind:      Kind(b[offsetKind]),
-		Must:      b[offsetMust] == 1,
-		Priority:  bramleyfall.Priority(b[offsetPriority]),
-		Objective: time.Duration(binary.BigEndian.Uint16(b[offsetObjective:])) * time.Millisecond,
-		Code:      bramleyfall.ResultCode(binary.BigEndian.Uint16(b[offsetCode:])),
-		Version:   bramleyfall.ConfigVersion(binary.BigEndian.Uint64(b[offsetVersion:])),
-		Service:   bramleyfall.ServiceKey(binary.BigEndian.Uint32(b[offsetService:])),
+		Kind:       Kind(b[offsetKind]),
+		Must:       b[offsetFlags]&flagMust != 0,
+		Idempotent: b[offsetFlags]&flagIdempotent != 0,
+		Priority:   bramleyfall.Priority(b[offsetPriority]),
+		Objective:  time.Duration(binary.BigEndian.Uint16(b[offsetObjective:])) * time.Millisecond,
+		Code:       bramleyfall.ResultCode(binary.BigEndian.Uint16(b[offsetCode:])),
+		Version:    bramleyfall.ConfigVersion(binary.BigEndian.Uint64(b[offsetVersion:])),
+		Service:    bramleyfall.ServiceKey(binary.BigEndian.Uint32(b[offsetService:])),
 		Load: bramleyfall.Load{
 			State:       states[b[offsetState]],
 			Slots:       binary.BigEndian.Uint16(b[offsetSlots:]),
