Search for owners in stages, and offer packets to a few agents at a time

Each packet went to 35 agents, and again with each repetition: a balancer's link of 14 Mbit/s was full for ten seconds, and first requests on open flows ran into their deadlines (trace: flow 100.66.0.61:1048, four lookups in 1.1 s without an answer on time). Ruled out: slow agents; upstreams that had lost the flows (the owner answered). Agents of the own failure domain are asked first, those that denied the flow not again, and a packet is offered to three unsure agents at a time.

--- a/direct/balancer.go
+++ b/direct/balancer.go
@@ -210,7 +210,10 @@
 	for i := range decisions {
 		d := &decisions[i]
 		b.act(d, raw, now)
-		if d.Placed || d.Kind == bramleyfall.ActionRefuse {
+		switch {
+		case d.Lookup:
+			b.telemetry.Decision(now).Str("Event", "Lookup").Str("Flow", d.Flow.String()).Int("Agents", len(d.Targets)).Msg("")
+		case d.Placed || d.Kind == bramleyfall.ActionRefuse:
 			b.logPlaced(d, now)
 		}
 	}
@@ -239,6 +242,8 @@
 	case tunnel.Return:
 		b.returned(&m, from, now)
 	case tunnel.Owned:
+		b.telemetry.Decision(now).Str("Event", "Owned").Str("Flow", m.Flow.String()).
+			Str("Agent", string(b.placer.Instance(from))).Msg("")
 		b.all(b.placer.Owned(m.Flow, from, now), nil, now)
 	case tunnel.MayOwn:
 		b.all(b.placer.MayOwn(m.Flow, from, now), nil, now)
--- a/placement/lookup.go
+++ b/placement/lookup.go
@@ -11,9 +11,13 @@
 	// lookupFor is how long the owner of a flow is looked for: longer than a
 	// silent agent is waited for.
 	lookupFor = 1500 * time.Millisecond
-	// lookupAgain is the least time between two lookups of one flow. A caller
-	// repeats its packets after 200 ms.
-	lookupAgain = 100 * time.Millisecond
+	// lookupAgain is the time after which a search that found nobody is begun
+	// anew by the caller's next packet.
+	lookupAgain = 500 * time.Millisecond
+	// offersAtOnce is the number of agents that have a packet at the same time.
+	// After a restart of all agents none of them can tell whether its upstream
+	// holds a flow; sending a packet to all would fill the balancer's link.
+	offersAtOnce = 3
 	// maxHeld bounds the packets of one flow that wait for its owner, and
 	// maxHeldFlows the flows: together some megabytes.
 	maxHeld      = 6
@@ -22,18 +26,35 @@
 
 // search is a lookup under way.
 type search struct {
-	// asked is the number of agents that were asked; zero when none is awaited.
-	asked int
+	// stage is how far the search has spread, at when it did so last.
+	stage stage
 	at    time.Time
-	// all is set when agents beside those of the route's services were asked.
-	all bool
+	// asked holds the agents whose answer decides.
+	asked []*upstream
 	// denied holds those that don't hold the flow.
 	denied []bramleyfall.Endpoint
-	// held are the packets that wait, offered the agents that have them already.
-	held    [][]byte
-	offered []*upstream
+	// held are the packets that wait. Unsure are the agents that can't tell whether
+	// their upstream holds the flow, offered those that have the packets already.
+	held            [][]byte
+	unsure, offered []*upstream
 }
 
+// stage tells which agents a search has reached.
+type stage uint8
+
+// The stages of a search. Each asks fewer agents than the next would.
+const (
+	stageNone stage = iota
+	// stageOwnDomain reaches the agents of the balancer's failure domain.
+	stageOwnDomain
+	// stageServices reaches all agents of the services that the route goes to, or
+	// went to before.
+	stageServices
+	// stageAll reaches all agents. A balancer that joined lately doesn't know what
+	// services a route went to before.
+	stageAll
+)
+
 // lookup is an entry of the queue of flows whose owner is looked for.
 type lookup struct {
 	flow bramleyfall.Flow
@@ -42,69 +63,82 @@
 
 // find asks the agents that may hold a flow whether they do, and keeps the packet
 // until one says so. The packet itself isn't sent along: a balancer that takes
-// over many flows at once would fill its link.
-func (p *Placer) find(packet *bramleyfall.Packet, f *placed, route *bramleyfall.Route, now time.Time) {
-	again := f.search.asked == 0 || now.Sub(f.search.at) >= lookupAgain
+// over many flows at once would fill its link. Those that have denied the flow
+// aren't asked again.
+func (p *Placer) find(packet *bramleyfall.Packet, f *placed, now time.Time) {
+	s := &f.search
+	again := s.stage == stageNone || now.Sub(s.at) >= lookupAgain
 	if again {
-		f.search = search{denied: f.search.denied[:0]}
+		*s = search{denied: s.denied}
 	}
-	if f.owner == nil && len(f.search.held) < maxHeld && len(p.lookups) < maxHeldFlows {
-		f.search.held = append(f.search.held, slices.Clone(packet.Raw))
+	if f.owner == nil && len(s.held) < maxHeld && len(p.lookups) < maxHeldFlows {
+		s.held = append(s.held, slices.Clone(packet.Raw))
 	}
 	if !again {
 		return
 	}
-	p.ask(packet.Flow, f, route, now)
 	p.lookups = append(p.lookups, lookup{packet.Flow, now})
+	first := stageOwnDomain
+	if len(s.denied) > 0 || f.owner != nil {
+		first = stageServices
+	}
+	p.spread(packet.Flow, f, first, now)
 }
 
-// ask sends a lookup to the agents of the services that the route goes to, or
-// went to before; where there are none, to all.
-func (p *Placer) ask(flow bramleyfall.Flow, f *placed, route *bramleyfall.Route, now time.Time) {
+// spread asks the agents of a stage that weren't asked yet. Where there are none,
+// it goes on to the next.
+func (p *Placer) spread(flow bramleyfall.Flow, f *placed, to stage, now time.Time) {
+	s := &f.search
 	first := len(p.targets)
-	for _, t := range route.Targets {
-		p.askEach(p.services[t.Service], now)
-	}
-	for _, name := range p.former[route.Address] {
-		p.askEach(p.services[name], now)
+	for ; to <= stageAll && len(p.targets) == first; to++ {
+		if to == stageAll && len(p.upstreams) > p.config.MaxAsked {
+			break
+		}
+		s.stage, s.at = to, now
+		p.askStage(flow, s, to, now)
 	}
 	if len(p.targets) == first {
-		p.askAll(flow, f, now)
 		return
 	}
-	p.decideLookup(flow, f, first, now)
+	p.decide(Decision{
+		Kind: bramleyfall.ActionPass, Code: bramleyfall.NoOwner, Flow: flow,
+		Targets: p.targets[first:], Lookup: true, Ack: f.ack,
+	})
 }
 
-// askAll sends a lookup to all agents. A balancer that joined lately doesn't
-// know what services the route went to before.
-func (p *Placer) askAll(flow bramleyfall.Flow, f *placed, now time.Time) {
-	first := len(p.targets)
-	for _, upstreams := range p.services {
-		p.askEach(upstreams, now)
+func (p *Placer) askStage(flow bramleyfall.Flow, s *search, to stage, now time.Time) {
+	if to == stageAll {
+		for _, upstreams := range p.services {
+			p.askEach(s, upstreams, "", now)
+		}
+		return
+	}
+	domain := bramleyfall.DomainName("")
+	if to == stageOwnDomain {
+		domain = p.config.Domain
+	}
+	if route := p.snapshot.Routes[flow.Destination]; route != nil {
+		for _, t := range route.Targets {
+			p.askEach(s, p.services[t.Service], domain, now)
+		}
+	}
+	for _, name := range p.former[flow.Destination] {
+		p.askEach(s, p.services[name], domain, now)
 	}
-	f.search.all = true
-	p.decideLookup(flow, f, first, now)
 }
 
-func (p *Placer) askEach(upstreams []*upstream, now time.Time) {
+// askEach asks those agents of a failure domain, or of all, that weren't asked.
+func (p *Placer) askEach(s *search, upstreams []*upstream, domain bramleyfall.DomainName, now time.Time) {
 	for _, u := range upstreams {
+		if domain != "" && u.Domain != domain || slices.Contains(s.asked, u) || slices.Contains(s.denied, u.Packets) {
+			continue
+		}
 		u.sent(now)
+		s.asked = append(s.asked, u)
 		p.targets = append(p.targets, u.target())
 	}
 }
 
-func (p *Placer) decideLookup(flow bramleyfall.Flow, f *placed, first int, now time.Time) {
-	f.search.asked, f.search.at = len(p.targets)-first, now
-	if f.search.asked == 0 {
-		p.decide(Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.NoUpstream, Flow: flow})
-		return
-	}
-	p.decide(Decision{
-		Kind: bramleyfall.ActionPass, Code: bramleyfall.NoOwner, Flow: flow,
-		Targets: p.targets[first:], Lookup: true, Ack: f.ack,
-	})
-}
-
 // Owned notes that an agent's upstream holds a flow, and sends it the packets
 // that waited.
 func (p *Placer) Owned(flow bramleyfall.Flow, from bramleyfall.Endpoint, now time.Time) []Decision {
@@ -131,14 +165,42 @@
 func (p *Placer) MayOwn(flow bramleyfall.Flow, from bramleyfall.Endpoint, now time.Time) []Decision {
 	p.begin()
 	u, f := p.upstreams[from], p.flows[flow]
-	if u == nil || f == nil || f.search.asked == 0 || slices.Contains(f.search.offered, u) {
+	if u == nil || f == nil || f.search.stage == stageNone || slices.Contains(f.search.unsure, u) {
 		return nil
 	}
-	f.search.offered = append(f.search.offered, u)
-	p.deliver(flow, f, u, true, now)
+	f.search.unsure = append(f.search.unsure, u)
+	p.offer(flow, f, now)
 	return p.decisions
 }
 
+// offer sends the packets that wait to the next agents that may hold the flow.
+func (p *Placer) offer(flow bramleyfall.Flow, f *placed, now time.Time) {
+	s := &f.search
+	open := 0
+	for _, u := range s.offered {
+		if !slices.Contains(s.denied, u.Packets) {
+			open++
+		}
+	}
+	for len(s.offered) < len(s.unsure) && open < offersAtOnce {
+		u := s.unsure[len(s.offered)]
+		s.offered = append(s.offered, u)
+		p.deliver(flow, f, u, true, now)
+		open++
+	}
+}
+
+// offerMore sends the packets that wait on while agents that have them don't
+// answer.
+func (p *Placer) offerMore(flow bramleyfall.Flow, f *placed, now time.Time) {
+	s := &f.search
+	for n := 0; n < offersAtOnce && len(s.offered) < len(s.unsure); n++ {
+		u := s.unsure[len(s.offered)]
+		s.offered = append(s.offered, u)
+		p.deliver(flow, f, u, true, now)
+	}
+}
+
 func (p *Placer) deliver(flow bramleyfall.Flow, f *placed, u *upstream, offer bool, now time.Time) {
 	for _, raw := range f.search.held {
 		d := p.forward(flow, u, now)
@@ -153,7 +215,7 @@
 func (p *Placer) NotOwned(flow bramleyfall.Flow, from bramleyfall.Endpoint, now time.Time) []Decision {
 	p.begin()
 	f := p.flows[flow]
-	if f == nil || f.search.asked == 0 {
+	if f == nil || f.search.stage == stageNone {
 		return nil
 	}
 	if f.owner != nil && f.owner.Packets == from {
@@ -162,30 +224,54 @@
 	if !slices.Contains(f.search.denied, from) {
 		f.search.denied = append(f.search.denied, from)
 	}
+	p.offer(flow, f, now)
 	p.conclude(flow, f, now)
 	return p.decisions
 }
 
-// conclude resets a flow that no agent is left for. Where only some were asked,
-// the others are asked first.
+// conclude spreads a search that has found nobody so far, and resets the flow
+// when no agent is left that may hold it.
 func (p *Placer) conclude(flow bramleyfall.Flow, f *placed, now time.Time) {
-	if !p.lost(flow, f, now) {
-		return
-	}
-	if !f.search.all && f.search.asked < len(p.upstreams) {
-		if len(p.upstreams) <= p.config.MaxAsked {
-			p.askAll(flow, f, now)
+	s := &f.search
+	for {
+		switch {
+		case s.stage == stageOwnDomain && !p.deniedByAll(s) && now.Sub(s.at) < ownDomainWithin:
+			return
+		case s.stage != stageOwnDomain && !p.lost(flow, f, now):
+			return
+		case s.stage == stageAll:
+			p.resetLost(flow, f)
+			return
+		}
+		before, first := s.stage, len(p.targets)
+		p.spread(flow, f, before+1, now)
+		if s.stage == before || len(p.targets) > first {
+			return
 		}
-		return
 	}
-	ack := f.ack
+}
+
+func (p *Placer) resetLost(flow bramleyfall.Flow, f *placed) {
 	delete(p.flows, flow)
 	p.decide(Decision{
 		Kind: bramleyfall.ActionRefuse, Code: bramleyfall.NoOwner, Flow: flow,
-		Reset: &bramleyfall.Segment{Flow: flow.Reverse(), Sequence: ack, Reset: true},
+		Reset: &bramleyfall.Segment{Flow: flow.Reverse(), Sequence: f.ack, Reset: true},
 	})
 }
 
+// ownDomainWithin is the time that agents of the balancer's own failure domain
+// have to answer: many round trips within it.
+const ownDomainWithin = 15 * time.Millisecond
+
+func (p *Placer) deniedByAll(s *search) bool {
+	for _, u := range s.asked {
+		if !slices.Contains(s.denied, u.Packets) {
+			return false
+		}
+	}
+	return true
+}
+
 // lost reports whether none of the agents that were asked may hold a flow: each
 // has denied it or is silent. When all are silent, it is the balancer that is
 // cut off.
@@ -197,13 +283,12 @@
 	if route := p.snapshot.Routes[flow.Destination]; route != nil && !route.Idempotent {
 		after = p.config.OrderLostAfter
 	}
-	open := f.search.asked
-	for _, u := range p.upstreams {
-		if slices.Contains(f.search.denied, u.Packets) || u.silent(after, now) {
-			open--
+	for _, u := range f.search.asked {
+		if !slices.Contains(f.search.denied, u.Packets) && !u.silent(after, now) {
+			return false
 		}
 	}
-	return open <= 0
+	return true
 }
 
 // checkLookups concludes the lookups whose last possible owners have gone silent
@@ -212,9 +297,10 @@
 	kept := p.lookups[:0]
 	for _, l := range p.lookups {
 		f := p.flows[l.flow]
-		if f == nil || f.search.asked == 0 {
+		if f == nil || f.search.stage == stageNone {
 			continue
 		}
+		p.offerMore(l.flow, f, now)
 		p.conclude(l.flow, f, now)
 		if now.Sub(l.at) < lookupFor {
 			kept = append(kept, l)
--- a/placement/opening.go
+++ b/placement/opening.go
@@ -186,7 +186,7 @@
 	}
 	if packet.Kind != bramleyfall.KindOpening {
 		f.owner = nil
-		p.find(packet, f, route, now)
+		p.find(packet, f, now)
 		return p.decisions
 	}
 	if f.pending == nil {
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -246,7 +246,7 @@
 		p.decide(p.forward(packet.Flow, f.owner, now))
 	}
 	if f.owner == nil || silent {
-		p.find(packet, f, route, now)
+		p.find(packet, f, now)
 	}
 	return p.decisions
 }
