Don't take the end of a flow that overtakes its answer for a failure

Ruled out: resets; every case was a FIN with a sequence number 800 bytes ahead. TestEndThatOvertakesItsAnswerIsNoFailure failed before.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -84,7 +84,9 @@
 	opening uint32
 	lastUse time.Time
 	// ack is the caller's last acknowledgement.
-	ack     uint32
+	ack uint32
+	// next is the sequence number that follows what the upstream has sent.
+	next    uint32
 	waiting bool
 	// asked is when the request under way was delivered, where none waited for a
 	// slot then; zero otherwise.
@@ -262,7 +264,7 @@
 		if p.Kind == bramleyfall.KindReset {
 			return action
 		}
-		f = &flow{state: g.chart.Established}
+		f = &flow{state: g.chart.Established, next: p.Sequence}
 		g.flows[key] = f
 		g.live++
 		action.Opened = true
@@ -271,7 +273,7 @@
 	switch p.Kind {
 	case bramleyfall.KindOpeningReply:
 		if f.state == g.chart.Opening {
-			f.reply = p.Sequence
+			f.reply, f.next = p.Sequence, p.End()
 			action.Opened = true
 		}
 		g.fire(f, g.chart.Accepted, now)
@@ -283,6 +285,9 @@
 		g.fire(f, g.chart.Reset, now)
 	}
 	if p.Length > 0 {
+		if int32(p.End()-f.next) > 0 {
+			f.next = p.End()
+		}
 		if f.waiting {
 			g.outcomes.succeeded()
 		}
@@ -294,8 +299,10 @@
 }
 
 // noteBroken notes a request that the upstream ended without a byte of answer.
+// An end whose sequence number lies ahead has overtaken an answer.
 func (g *Gate) noteBroken(f *flow, p *bramleyfall.Packet, now time.Time) {
-	if f.waiting && f.state != g.chart.Opening && f.state != g.chart.HalfOpen && p.Length == 0 {
+	opening := f.state == g.chart.Opening || f.state == g.chart.HalfOpen
+	if f.waiting && !opening && p.Length == 0 && int32(p.Sequence-f.next) <= 0 {
 		g.outcomes.failed(now)
 	}
 }
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -327,3 +327,22 @@
 	b.beat(bramleyfall.Heartbeat{Boot: 3000})
 	is.Equal(b.State(b.now), bramleyfall.UpstreamFailing)
 }
+
+// The end of a flow may overtake the answer before it on the way to the agent.
+func TestEndThatOvertakesItsAnswerIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	b := newBeside(t)
+	for n := range 5 {
+		is.Equal(b.open(n, offer), bramleyfall.OK)
+		b.request(n)
+		b.FromUpstream(fromUpstream(n, bramleyfall.KindFinish, 901+1000, 0), b.now)
+		b.answer(n)
+	}
+	is.Equal(b.State(b.now), bramleyfall.UpstreamReady)
+	for n := range 2 {
+		is.Equal(b.open(10+n, offer), bramleyfall.OK)
+		b.request(10 + n)
+		b.FromUpstream(fromUpstream(10+n, bramleyfall.KindFinish, 901, 0), b.now) // nothing came before it
+	}
+	is.Equal(b.State(b.now), bramleyfall.UpstreamFailing)
+}
