Keep the cold rate whatever else the state of the upstream is

Cause: found on reading: an upstream that was on trial or failing reported that state instead of being cold, and its cold rate was not looked at. TestColdRateHoldsOnTrial failed before.

--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -346,3 +346,23 @@
 	}
 	is.Equal(b.State(b.now), bramleyfall.UpstreamFailing)
 }
+
+// An upstream that is both cold and on trial bears no more than a cold one.
+func TestColdRateHoldsOnTrial(t *testing.T) {
+	is := is.New(t)
+	b := newBeside(t)
+	b.Configure(snapshot(2, 2), b.now)
+	for n := range 2 {
+		is.Equal(b.open(n, offer), bramleyfall.OK)
+		b.request(n)
+		b.reset(n)
+	}
+	b.beat(bramleyfall.Heartbeat{ColdFor: 2 * time.Second})
+	admitted := 0
+	for n := range 9 {
+		if b.open(10+n, must) == bramleyfall.OK {
+			admitted++
+		}
+	}
+	is.Equal(admitted, 2)
+}
--- a/admission/opening.go
+++ b/admission/opening.go
@@ -34,17 +34,39 @@
 
 // admit reports whether the upstream takes one more flow.
 func (g *Gate) admit(address bramleyfall.Endpoint, o Offer, now time.Time) bramleyfall.ResultCode {
+	if code := g.allowed(address, o); code != bramleyfall.OK {
+		return code
+	}
+	if code := g.admitByState(o, now); code != bramleyfall.OK {
+		return code
+	}
 	limits := g.limits()
+	if limits.Connections > 0 && g.live >= limits.Connections {
+		return bramleyfall.NotRunFull
+	}
+	if g.busy >= g.busyLimit(o) {
+		return bramleyfall.NotRunClass
+	}
+	return bramleyfall.OK
+}
+
+// allowed reports whether operators let the upstream take flows to an address,
+// by the newer of the balancer's and the agent's configurations.
+func (g *Gate) allowed(address bramleyfall.Endpoint, o Offer) bramleyfall.ResultCode {
+	s := g.snapshot
 	switch {
 	case o.Service != g.config.Service.Key():
 		return bramleyfall.WrongService
-	case g.snapshot != nil && g.snapshot.Version >= o.Version && !g.snapshot.Allows(address, g.config.Service):
+	case s != nil && s.Version >= o.Version && !s.Allows(address, g.config.Service):
 		return bramleyfall.WrongService
-	case g.snapshot != nil && g.out(g.snapshot):
+	case s != nil && g.out(s):
 		return bramleyfall.NotRunDomainOut
-	case g.leaving:
-		return bramleyfall.NotRunDraining
 	}
+	return bramleyfall.OK
+}
+
+// admitByState reports whether the state of the upstream allows a new flow.
+func (g *Gate) admitByState(o Offer, now time.Time) bramleyfall.ResultCode {
 	switch g.State(now) {
 	case bramleyfall.UpstreamUnknown, bramleyfall.UpstreamSilent:
 		return bramleyfall.NotRunUnavailable
@@ -58,16 +80,10 @@
 		if !o.Must && (!o.Idempotent || g.busy > 0) {
 			return bramleyfall.NotRunFailing
 		}
-	case bramleyfall.UpstreamCold:
-		if limits.ColdRate > 0 && g.cold.count(now) >= coldLimit(limits.ColdRate) {
-			return bramleyfall.NotRunWarmUp
-		}
 	}
-	if limits.Connections > 0 && g.live >= limits.Connections {
-		return bramleyfall.NotRunFull
-	}
-	if g.busy >= g.busyLimit(o) {
-		return bramleyfall.NotRunClass
+	rate := g.limits().ColdRate
+	if g.upstream.cold(now) && rate > 0 && g.cold.count(now) >= coldLimit(rate) {
+		return bramleyfall.NotRunWarmUp
 	}
 	return bramleyfall.OK
 }
--- a/admission/upstream.go
+++ b/admission/upstream.go
@@ -111,10 +111,10 @@
 func (g *Gate) State(now time.Time) bramleyfall.UpstreamState {
 	u := &g.upstream
 	switch {
+	case g.leaving || u.draining || u.left:
+		return bramleyfall.UpstreamDraining
 	case u.boot == 0:
 		return bramleyfall.UpstreamUnknown
-	case u.draining || u.left || g.leaving:
-		return bramleyfall.UpstreamDraining
 	case g.away(now) || g.silent(now):
 		return bramleyfall.UpstreamSilent
 	case g.outcomes.ejected(now):
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -69,8 +69,9 @@
 	return &bramleyfall.Packet{Flow: flowOf(n), Kind: bramleyfall.KindOpening, Sequence: uint32(n), Raw: []byte("opening")}
 }
 
-func data(n int) *bramleyfall.Packet {
-	return &bramleyfall.Packet{Flow: flowOf(n), Kind: bramleyfall.KindData, HasAck: true, Ack: 7000, Length: 10, Raw: []byte("data")}
+// data returns a packet of an open flow, that with the number 1.
+func data() *bramleyfall.Packet {
+	return &bramleyfall.Packet{Flow: flowOf(1), Kind: bramleyfall.KindData, HasAck: true, Ack: 7000, Length: 10, Raw: []byte("data")}
 }
 
 // kinds returns the kinds of decisions.
@@ -104,16 +105,16 @@
 func TestOwnerIsAskedForOnceAndThenRemembered(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(7)
-	d := w.FromCaller(data(1), w.now)
+	d := w.FromCaller(data(), w.now)
 	is.Equal(kinds(d), []bramleyfall.ActionKind{bramleyfall.ActionPass})
 	is.True(d[0].Lookup)
-	is.Equal(len(d[0].Targets), 3)                 // all in its failure domain that may hold the flow
-	is.Equal(len(w.FromCaller(data(1), w.now)), 0) // the next packet waits as well
+	is.Equal(len(d[0].Targets), 3)                // all in its failure domain that may hold the flow
+	is.Equal(len(w.FromCaller(data(), w.now)), 0) // the next packet waits as well
 	d = w.Owned(flowOf(1), agent(4), w.now)
 	is.Equal(len(d), 2) // both are sent to the owner
 	is.Equal(string(d[1].Raw), "data")
 	is.Equal(d[1].Targets[0].Address, agent(4))
-	d = w.FromCaller(data(1), w.now)
+	d = w.FromCaller(data(), w.now)
 	is.True(!d[0].Lookup)
 	is.Equal(d[0].Targets[0].Address, agent(4))
 }
@@ -123,11 +124,11 @@
 func TestDenialsCountOncePerAgent(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(7)
-	w.FromCaller(data(1), w.now)
+	w.FromCaller(data(), w.now)
 	w.now = w.now.Add(20 * time.Millisecond)
 	is.Equal(len(w.Tick(w.now)[0].Targets), 4) // with the own domain's three, all
 	w.now = w.now.Add(180 * time.Millisecond)
-	w.FromCaller(data(1), w.now)
+	w.FromCaller(data(), w.now)
 	for range 2 {
 		for n := range 6 {
 			d := w.NotOwned(flowOf(1), agent(n), w.now)
@@ -145,7 +146,7 @@
 	is := is.New(t)
 	w := newWorld(3) // its only configuration sends the route to railbook
 	w.Announce(bramleyfall.Announcement{Instance: "drawhub-1", Service: drawhub, Packets: agent(9), Slots: 2})
-	is.Equal(len(w.FromCaller(data(1), w.now)[0].Targets), 1) // in its failure domain
+	is.Equal(len(w.FromCaller(data(), w.now)[0].Targets), 1) // in its failure domain
 	d := w.NotOwned(flowOf(1), agent(0), w.now)
 	is.Equal(len(d[0].Targets), 2) // the others of the service
 	is.Equal(len(w.NotOwned(flowOf(1), agent(1), w.now)), 0)
@@ -166,7 +167,7 @@
 			Instance: bramleyfall.InstanceID(fmt.Sprintf("drawhub-%d", n)), Service: drawhub, Packets: agent(100 + n), Slots: 2,
 		})
 	}
-	asked := slices.Clone(w.FromCaller(data(1), w.now)[0].Targets)
+	asked := slices.Clone(w.FromCaller(data(), w.now)[0].Targets)
 	for n := 0; n < len(asked); n++ {
 		for _, d := range w.NotOwned(flowOf(1), asked[n].Address, w.now) {
 			is.Equal(d.Kind, bramleyfall.ActionPass)
@@ -196,11 +197,11 @@
 			is := is.New(t)
 			w := newWorld(7)
 			w.Owned(flowOf(1), agent(0), w.now)
-			w.FromCaller(data(1), w.now) // agent 0 doesn't answer from here on
+			w.FromCaller(data(), w.now) // agent 0 doesn't answer from here on
 			count := 0
 			for elapsed := time.Duration(0); elapsed < test.after; elapsed += 20 * time.Millisecond {
 				w.now = w.now.Add(20 * time.Millisecond)
-				w.FromCaller(data(1), w.now)
+				w.FromCaller(data(), w.now)
 				for n := range 7 - test.silent {
 					w.report(6-n, ready(0, 0))
 				}
@@ -237,7 +238,7 @@
 			w.Owned(flowOf(1), agent(0), w.now)
 			count := 0
 			for elapsed := time.Duration(0); elapsed < test.after; elapsed += 20 * time.Millisecond {
-				w.FromCaller(data(1), w.now)
+				w.FromCaller(data(), w.now)
 				w.report(1, ready(0, 0))
 				w.report(2, ready(0, 0))
 				count += resets(w.NotOwned(flowOf(1), agent(1), w.now))
@@ -290,7 +291,7 @@
 func TestOwnDomainIsAskedFirst(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(9)
-	d := w.FromCaller(data(1), w.now)
+	d := w.FromCaller(data(), w.now)
 	is.Equal(len(d[0].Targets), 3)
 	for _, target := range d[0].Targets[:2] {
 		is.Equal(len(w.NotOwned(flowOf(1), target.Address, w.now)), 0)
@@ -298,8 +299,8 @@
 	w.now = w.now.Add(20 * time.Millisecond)
 	is.Equal(len(w.Tick(w.now)[0].Targets), 6) // one is late
 	w.now = w.now.Add(520 * time.Millisecond)
-	d = w.FromCaller(data(1), w.now) // the caller repeats its packet
-	is.Equal(len(d[0].Targets), 7)   // all but the two that have denied it
+	d = w.FromCaller(data(), w.now) // the caller repeats its packet
+	is.Equal(len(d[0].Targets), 7)  // all but the two that have denied it
 }
 
 // After a restart of all agents none can tell whether its upstream holds a flow.
@@ -307,7 +308,7 @@
 func TestUnsureAgentsAreOfferedThePacketInTurn(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(30)
-	asked := slices.Clone(w.FromCaller(data(1), w.now)[0].Targets)
+	asked := slices.Clone(w.FromCaller(data(), w.now)[0].Targets)
 	offers := 0
 	for _, target := range asked {
 		for _, d := range w.MayOwn(flowOf(1), target.Address, w.now) {
--- a/result.go
+++ b/result.go
@@ -67,7 +67,7 @@
 	NotRunWarmUp:     "NotRunWarmUp", NotRunFull: "NotRunFull", NotRunDraining: "NotRunDraining",
 	NotRunDomainOut: "NotRunDomainOut", NotRunClass: "NotRunClass", NotRunUnavailable: "NotRunUnavailable",
 	PassedForBalance: "PassedForBalance", NotRunFailing: "NotRunFailing",
-	InForce:          "InForce", Accepted: "Accepted", NotAccepted: "NotAccepted", LostRace: "LostRace",
+	InForce: "InForce", Accepted: "Accepted", NotAccepted: "NotAccepted", LostRace: "LostRace",
 	Unknown: "Unknown", NoService: "NoService", Unsafe: "Unsafe",
 	PlatformAway: "PlatformAway", PlatformRolledBack: "PlatformRolledBack",
 	PeerAway: "PeerAway", BadSeal: "BadSeal",
