--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -366,3 +366,43 @@
 	}
 	is.Equal(admitted, 2)
 }
+
+// An upstream may have gone cold while its domain was out of service; only its
+// next heartbeat tells.
+func TestColdAfterAnEvacuation(t *testing.T) {
+	is := is.New(t)
+	b := newBeside(t)
+	b.Configure(snapshot(2, 1, "Ikeja"), b.now)
+	is.Equal(b.open(1, must), bramleyfall.NotRunDomainOut)
+	b.Configure(snapshot(2, 1), b.now)
+	is.Equal(b.State(b.now), bramleyfall.UpstreamCold)
+	is.Equal(b.open(2, offer), bramleyfall.OK)
+	is.Equal(b.open(3, offer), bramleyfall.NotRunWarmUp)
+	b.beat(bramleyfall.Heartbeat{})
+	is.Equal(b.open(4, offer), bramleyfall.OK)
+}
+
+// The newer of the two configurations decides whether an opening is allowed.
+func TestNewerConfigurationDecides(t *testing.T) {
+	other := bramleyfall.Endpoint{IP: [4]byte{198, 18, 0, 2}, Port: 443}
+	tests := []struct {
+		name     string
+		balancer bramleyfall.ConfigVersion
+		want     bramleyfall.ResultCode
+	}{
+		{"the balancer is behind", 1, bramleyfall.WrongService},
+		{"both know the same", 2, bramleyfall.WrongService},
+		{"the balancer knows of a new route", 3, bramleyfall.OK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBeside(t)
+			b.Configure(snapshot(2, 0), b.now)
+			p := opening(1)
+			p.Flow.Destination = other
+			o := offer
+			o.Version = test.balancer
+			is.New(t).Equal(b.FromBalancer(p, o, b.now).Code, test.want)
+		})
+	}
+}
