Bound the cost of forwarding by a test, and ask up to 256 agents for a flow

With 64 agents as the bound a deployment of 100 agents would never reset a dead flow; the search goes by stages, so that most flows cost a dozen messages.

--- a/placement/opening.go
+++ b/placement/opening.go
@@ -126,7 +126,7 @@
 		cost += trialCost(u, idempotent, now)
 	}
 	const buckets = 1 << 10
-	return cost + spreadCost*float64(bramleyfall.KeyOf(string(u.Instance)).Score(hash)%buckets)/buckets
+	return cost + spreadCost*float64(u.key.Score(hash)%buckets)/buckets
 }
 
 const (
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -56,7 +56,7 @@
 		OrderLostAfter: 1200 * time.Millisecond,
 		ProbeEvery:     200 * time.Millisecond,
 		UnlistedFor:    20 * time.Second,
-		MaxAsked:       64,
+		MaxAsked:       256,
 		MaxTries:       5,
 	}
 }
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -10,6 +10,7 @@
 
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/placement"
+	"bramleyfall.example/bramleyfall/tunnel"
 )
 
 const (
@@ -44,7 +45,7 @@
 }
 
 func agent(n int) bramleyfall.Endpoint {
-	return bramleyfall.Endpoint{IP: [4]byte{10, 0, 0, byte(n + 1)}, Port: 8172}
+	return bramleyfall.Endpoint{IP: [4]byte{10, 0, byte(n >> 8), byte(n)}, Port: 8172}
 }
 
 func snapshot(version bramleyfall.ConfigVersion, services ...bramleyfall.ServiceName) *bramleyfall.Snapshot {
@@ -162,7 +163,7 @@
 func TestNoResetWithoutAskingAll(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(40)
-	for n := range 40 {
+	for n := range 300 {
 		w.Announce(bramleyfall.Announcement{
 			Instance: bramleyfall.InstanceID(fmt.Sprintf("drawhub-%d", n)), Service: drawhub, Packets: agent(100 + n), Slots: 2,
 		})
@@ -324,3 +325,54 @@
 	is.Equal(next[0].Targets[0].Address, asked[3].Address)
 	is.Equal(len(w.Owned(flowOf(1), asked[1].Address, w.now)), 0) // it has the packet already
 }
+
+// forwarding is the way of a packet of an open flow through a balancer, but for
+// the sockets.
+func forwarding(tb testing.TB) func() {
+	w := newWorld(7)
+	w.Owned(flowOf(1), agent(4), w.now)
+	packet := data()
+	buffer := make([]byte, 0, 2048)
+	return func() {
+		w.report(4, ready(1, 500))
+		d := w.FromCaller(packet, w.now)
+		if len(d) != 1 || d[0].Lookup {
+			tb.Fatal("the owner is known")
+		}
+		buffer = tunnel.Append(buffer[:0], &tunnel.Message{Kind: tunnel.Forward, Service: d[0].Targets[0].Service, Raw: packet.Raw})
+	}
+}
+
+func TestForwardingAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	const runs = 1000
+	is.Equal(testing.AllocsPerRun(runs, forwarding(t)), 0.0)
+}
+
+func BenchmarkForwarding(b *testing.B) {
+	forward := forwarding(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		forward()
+	}
+}
+
+func BenchmarkPlacing(b *testing.B) {
+	for _, count := range []int{7, 35, 1000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			w := newWorld(count)
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				n++
+				p := opening(n & 0xff) // few flows, so that the table stays small
+				p.Sequence = uint32(n)
+				w.FromCaller(p, w.now)
+				if n%100 == 0 {
+					w.now = w.now.Add(time.Second)
+					w.Tick(w.now)
+				}
+			}
+		})
+	}
+}
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -10,6 +10,7 @@
 // upstream is what the balancer knows of an upstream and the agent beside it.
 type upstream struct {
 	bramleyfall.Announcement
+	key    bramleyfall.InstanceKey
 	load   bramleyfall.Load
 	loadAt time.Time
 	// placed counts the openings that were sent since the load was told.
@@ -96,7 +97,7 @@
 	if u != nil {
 		p.drop(u)
 	}
-	next := &upstream{Announcement: a, load: bramleyfall.Load{State: bramleyfall.UpstreamReady}}
+	next := &upstream{Announcement: a, key: bramleyfall.KeyOf(string(a.Instance)), load: bramleyfall.Load{State: bramleyfall.UpstreamReady}}
 	if u != nil && u.Service == a.Service && u.Instance == a.Instance {
 		// The same agent announces another run of its upstream.
 		*next = *u
