Judge upstreams by answers that no work went into, and end trials by the rate

Ruled out: resets and restarts, which were counted before. An answer whose first bytes take under a fifth of the usual time of its address and are under half of the usual length counts as a failure; the bytes are not read. A trial ends when the rate of failures is under 0.11. TestHastyAnswersAreFailures and the longer trial failed before.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -68,6 +68,7 @@
 	use      meter
 	work     workTime
 	outcomes outcomes
+	answers  map[bramleyfall.Endpoint]*answers
 	// live counts flows that are not closed, busy those with a request under way.
 	live, busy int
 	leaving    bool
@@ -91,6 +92,8 @@
 	// asked is when the request under way was delivered, where none waited for a
 	// slot then; zero otherwise.
 	asked time.Time
+	// requested is when the request under way began to be delivered, or zero.
+	requested time.Time
 }
 
 // New returns the gate of an upstream that hasn't been heard of yet.
@@ -105,7 +108,8 @@
 	}
 	return &Gate{
 		config: config, chart: flowChart, flows: make(map[bramleyfall.Flow]*flow),
-		use: newMeter(now), started: now,
+		answers: make(map[bramleyfall.Endpoint]*answers),
+		use:     newMeter(now), started: now,
 	}, nil
 }
 
@@ -184,6 +188,9 @@
 	f.ack = p.Ack
 	if p.Length > 0 && f.state != g.chart.Closed {
 		g.setWaiting(f, true, now)
+		if f.requested.IsZero() {
+			f.requested = now
+		}
 		if g.busy <= g.upstream.slots {
 			f.asked = now
 		}
@@ -288,16 +295,30 @@
 		if int32(p.End()-f.next) > 0 {
 			f.next = p.End()
 		}
-		if f.waiting {
-			g.outcomes.succeeded()
+		if f.waiting && !f.requested.IsZero() {
+			g.noteAnswer(key.Destination, now.Sub(f.requested), p.Length, now)
 		}
 		g.setWaiting(f, false, now)
 		g.work.learn(f.asked, now)
-		f.asked = time.Time{}
+		f.asked, f.requested = time.Time{}, time.Time{}
 	}
 	return action
 }
 
+// noteAnswer notes the first bytes of an answer to a request to an address.
+func (g *Gate) noteAnswer(address bramleyfall.Endpoint, took time.Duration, length uint32, now time.Time) {
+	a := g.answers[address]
+	if a == nil {
+		a = &answers{}
+		g.answers[address] = a
+	}
+	if a.error(took, length) {
+		g.outcomes.failed(now)
+		return
+	}
+	g.outcomes.succeeded()
+}
+
 // noteBroken notes a request that the upstream ended without a byte of answer.
 // An end whose sequence number lies ahead has overtaken an answer.
 func (g *Gate) noteBroken(f *flow, p *bramleyfall.Packet, now time.Time) {
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -288,13 +288,67 @@
 	is.Equal(b.State(b.now), bramleyfall.UpstreamFailing) // it waits longer each time
 	b.after(time.Second)
 	b.beat(bramleyfall.Heartbeat{})
-	for n := range 3 {
-		is.Equal(b.open(10+n, safe), bramleyfall.OK)
-		b.request(10 + n)
-		b.answer(10 + n)
-		b.after(300 * time.Millisecond)
+	for n := range 20 { // a third of its requests still fails
+		is.Equal(b.open(100+n, must), bramleyfall.OK)
+		b.request(100 + n)
+		b.after(20 * time.Millisecond)
+		if n%3 == 2 {
+			b.reset(100 + n)
+			b.beat(bramleyfall.Heartbeat{})
+			is.True(b.State(b.now) != bramleyfall.UpstreamReady)
+			continue
+		}
+		b.answer(100 + n)
+	}
+	b.after(9 * time.Second)
+	b.beat(bramleyfall.Heartbeat{})
+	answers := 0
+	for ; b.State(b.now) == bramleyfall.UpstreamTrial; answers++ {
+		is.Equal(b.open(10+answers, safe), bramleyfall.OK)
+		b.request(10 + answers)
+		b.answer(10 + answers)
+		b.after(50 * time.Millisecond)
 	}
 	is.Equal(b.State(b.now), bramleyfall.UpstreamReady)
+	is.True(answers >= 5 && answers <= 10) // in a row
+}
+
+// An upstream answers each request at once with a few bytes where it took its
+// time before and sent many: these are errors, whatever its health check says.
+func TestHastyAnswersAreFailures(t *testing.T) {
+	tests := []struct {
+		name   string
+		after  time.Duration
+		length uint32
+		want   bramleyfall.UpstreamState
+	}{
+		{"as always", 20 * time.Millisecond, 1000, bramleyfall.UpstreamReady},
+		{"fast but whole", time.Millisecond, 1000, bramleyfall.UpstreamReady},
+		{"short but not hasty", 20 * time.Millisecond, 100, bramleyfall.UpstreamReady},
+		{"hasty and short", time.Millisecond, 100, bramleyfall.UpstreamFailing},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBeside(t)
+			is.Equal(b.open(1, offer), bramleyfall.OK)
+			next := uint32(901)
+			ask := func(after time.Duration, length uint32) {
+				b.FromBalancer(fromCaller(1, next, 200), offer, b.now)
+				b.after(after)
+				b.FromUpstream(fromUpstream(1, bramleyfall.KindData, next, length), b.now)
+				next += length
+				b.after(20 * time.Millisecond)
+			}
+			for range 30 {
+				ask(20*time.Millisecond, 1000)
+			}
+			for range 3 {
+				ask(test.after, test.length)
+			}
+			is.Equal(b.State(b.now), test.want)
+		})
+	}
 }
 
 // One request in many fails: that is no reason to lose the upstream.
