Find watches that went deaf within 4 s

Ruled out: answers by stale reads (none are asked for); a backoff (no call failed in that time). A balancer's watch of the configuration ends after 3 s now, an agent's after 10 s (messages show it newer versions), a watch of the entries after 6 s. TestDeafWatches failed before (nothing within 10 s).

--- a/direct/agent.go
+++ b/direct/agent.go
@@ -110,7 +110,7 @@
 	}
 	configuration := &dependency{telemetry: t, name: "Configuration"}
 	own := &dependency{telemetry: t, name: "OwnEntry"}
-	a.follower = directory.NewFollower(source, a.peers.fetch, a.configured, configuration.health)
+	a.follower = directory.NewFollower(source, a.peers.fetch, a.configured, configuration.health, directory.AgentWait)
 	a.announcer = directory.NewAnnouncer(store, own.health)
 	if a.tunnel, err = listenUDP(config.Packets); err != nil {
 		return nil, err
--- a/direct/balancer.go
+++ b/direct/balancer.go
@@ -97,7 +97,7 @@
 	}
 	configuration := &dependency{telemetry: t, name: "Configuration"}
 	entries := &dependency{telemetry: t, name: "AgentEntries"}
-	b.follower = directory.NewFollower(source, b.peers.fetch, b.configured, configuration.health)
+	b.follower = directory.NewFollower(source, b.peers.fetch, b.configured, configuration.health, directory.BalancerWait)
 	b.roster = directory.NewRoster(store, b, entries.health, func() { b.listed.Store(true) })
 	var err error
 	if b.callers, err = listenUDP(config.Packets); err != nil {
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -303,6 +304,39 @@
 	f.upstreamWhileAway(b)
 }
 
+// version returns the version of the configuration in force at a machine.
+func (f *fleet) version(machine string) bramleyfall.ConfigVersion {
+	var s bramleyfall.Snapshot
+	response, err := http.Get("http://" + f.at(machine, portMetrics) + "/configuration")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if json.NewDecoder(response.Body).Decode(&s) != nil {
+		return 0
+	}
+	return s.Version
+}
+
+// The watches that wait hear nothing any more, while their connections stay open
+// and new calls work. A balancer finds out by itself in less than the 4 s after
+// which it counts as in touch with the store again, and tells its agents.
+func TestDeafWatches(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	b, m := f.machine(), f.machine()
+	f.upstream(m)
+	f.balancer(b)
+	f.store.DeafenWatches()
+	f.store.Configure(5, "railbook")
+	changed := time.Now()
+	f.await("the change at the balancer", func() bool { return f.version(b) == 5 })
+	is.True(time.Since(changed) < 4*time.Second)
+	f.ask(f.open(f.client(), 2000, b), "order", b)
+	f.await("the change at the agent", func() bool { return f.version(m) == 5 })
+	is.True(time.Since(changed) < 4*time.Second)
+}
+
 // upstreamWhileAway has an upstream and a configuration appear in changes whose
 // history is dropped before the balancer could see them.
 func (f *fleet) upstreamWhileAway(balancer string) {
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -12,11 +12,18 @@
 	"bramleyfall.example/bramleyfall"
 )
 
+// A watch may go deaf: it hears nothing any more while its connection stays open
+// and new calls work. Only the end of its wait shows it.
 const (
-	// watchWait is the longest wait of a watch; the store allows 30 s. A connection
-	// that went silent is found sooner, by keep-alive probes, and a configuration
-	// that it held back by the versions in peers' messages.
-	watchWait = 25 * time.Second
+	// BalancerWait is the longest wait of a balancer's watch of the configuration:
+	// with the slack of the call less than the 4 s after which it counts as in
+	// touch with the store again.
+	BalancerWait = 3 * time.Second
+	// AgentWait is that of an agent's. Balancers' messages show it that there is a
+	// newer configuration.
+	AgentWait = 10 * time.Second
+	// rosterWait is the longest wait of a watch of the agents' entries.
+	rosterWait = 6 * time.Second
 	// settleFor is the pause after a watch that brought changes, so that changes
 	// in quick succession come by one call. It is a fraction of any bound.
 	settleFor = 250 * time.Millisecond
@@ -60,15 +67,17 @@
 	fetch   Fetch
 	changed func(*bramleyfall.Snapshot)
 	health  Dependency
+	wait    time.Duration
 	// ahead holds a peer that knows a newer configuration.
 	ahead chan bramleyfall.Endpoint
 	known *bramleyfall.Snapshot
 	newer bramleyfall.Endpoint
 }
 
-// NewFollower returns a follower that hands each configuration to changed.
-func NewFollower(source bramleyfall.ConfigurationSource, fetch Fetch, changed func(*bramleyfall.Snapshot), health Dependency) *Follower {
-	return &Follower{source: source, fetch: fetch, changed: changed, health: health, ahead: make(chan bramleyfall.Endpoint, 1)}
+// NewFollower returns a follower that hands each configuration to changed. Wait
+// is the longest wait of one watch.
+func NewFollower(source bramleyfall.ConfigurationSource, fetch Fetch, changed func(*bramleyfall.Snapshot), health Dependency, wait time.Duration) *Follower {
+	return &Follower{source: source, fetch: fetch, changed: changed, health: health, wait: wait, ahead: make(chan bramleyfall.Endpoint, 1)}
 }
 
 // Behind has the configuration read again, because a peer knows a newer one.
@@ -157,7 +166,7 @@
 		<-stopped
 	}()
 	go f.loopStale(done, stopped, cancel)
-	next, err := f.source.Next(ctx, s, watchWait)
+	next, err := f.source.Next(ctx, s, f.wait)
 	if err != nil && errors.Is(context.Cause(ctx), errStale) {
 		return nil, errStale
 	}
--- a/directory/follow_test.go
+++ b/directory/follow_test.go
@@ -60,7 +60,7 @@
 // following starts a follower of s that hands configurations to the channel.
 func following(t *testing.T, s *source, fetch directory.Fetch) (*directory.Follower, <-chan *bramleyfall.Snapshot) {
 	taken := make(chan *bramleyfall.Snapshot, 8)
-	f := directory.NewFollower(s, fetch, func(x *bramleyfall.Snapshot) { taken <- x }, func(error) {})
+	f := directory.NewFollower(s, fetch, func(x *bramleyfall.Snapshot) { taken <- x }, func(error) {}, time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/directory/members.go
+++ b/directory/members.go
@@ -73,7 +73,7 @@
 	for {
 		r.health(nil)
 		succeeded()
-		changes, next, err := r.store.Await(ctx, agentPrefix, revision, watchWait)
+		changes, next, err := r.store.Await(ctx, agentPrefix, revision, rosterWait)
 		if err != nil {
 			return err
 		}
