--- a/bramleyfall.go
+++ b/bramleyfall.go
@@ -70,3 +70,44 @@
 	// Record appends one event. It never blocks the caller.
 	Record(event TraceEvent)
 }
+
+// Wire reads and writes the packets that callers and upstreams exchange.
+// Payload and header belong to the two ends; only the tag may be written.
+type Wire interface {
+	// Decode reads the header of raw into p. P.Raw aliases raw.
+	Decode(raw []byte, p *Packet) error
+	// SetTag writes a tag that an upstream leaves on a packet that it returns,
+	// and takes the mark of a returned packet away.
+	SetTag(raw []byte, tag uint32)
+	// AppendReset appends a reset for the caller of s to raw.
+	AppendReset(raw []byte, s *Segment) []byte
+}
+
+// ConfigurationSource is where the operators' configuration comes from.
+type ConfigurationSource interface {
+	// Read returns the current configuration.
+	Read(ctx context.Context) (*Snapshot, error)
+	// Next waits until the configuration differs from the given one. It returns
+	// the given one when wait passed without a change, and ErrHistoryLost when
+	// it must be read again.
+	Next(ctx context.Context, known *Snapshot, wait time.Duration) (*Snapshot, error)
+}
+
+// Store is a key-value store with leases and long polls.
+type Store interface {
+	// List returns all pairs under prefix and the revision that a watch
+	// continues from.
+	List(ctx context.Context, prefix string) ([]Pair, Revision, error)
+	// Await returns the changes under prefix after a revision, and the revision
+	// to continue from. It returns none when wait passed without a change, and
+	// ErrHistoryLost when the changes are no longer kept.
+	Await(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Pair, Revision, error)
+	// Commit runs txn atomically and tells whether its conditions held. The
+	// error ErrUnknownOutcome means that the write may still take effect, and
+	// ErrLeaseLost that a lease of the transaction has ended.
+	Commit(ctx context.Context, txn Txn) (bool, error)
+	// Grant creates a lease that lapses unless it is kept alive.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive extends a lease. It returns ErrLeaseLost when it has ended.
+	KeepAlive(ctx context.Context, lease LeaseID) error
+}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -1,8 +1,8 @@
 // Package placement decides, in a balancer, which upstream a flow opens at and
 // where the packets of an open flow go.
 //
-// The cache of owners serves nearly all packets. On a miss the packet is
-// offered to every agent that may hold the flow, and the one that does says so.
+// The cache of owners serves nearly all packets. On a miss the agents are asked in
+// stages whether they hold the flow, and the packet waits for the one that does.
 package placement
 
 import (
