--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 SEED := 1
 MINUTES := 1
 
-.PHONY: build bench demo measure slopes soak test lint format tools
+.PHONY: build bench demo experiment measure slopes soak test lint format tools
 
 build:
 	go build -o bin/ $(PROGRAMS)
@@ -24,6 +24,12 @@
 measure: build
 	bin/measure
 
+# EXPERIMENT is the settings file of an experiment.
+EXPERIMENT := measure/experiments/bounds.json
+
+experiment: build
+	bin/measure --experiment $(EXPERIMENT) --plot out/experiment
+
 slopes: build
 	bin/slopes
 
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -26,6 +26,12 @@
 	// QueueShare is the share of the objective that a request may spend waiting
 	// for a slot.
 	QueueShare float64
+	// LessImportant is the part of a standing queue that is open to requests of lower
+	// priority; the rest is kept for the important ones.
+	LessImportant float64
+	// YoungDeny is set where an upstream that started with the gate is taken to hold
+	// no flow that the gate doesn't know.
+	YoungDeny bool
 	// OpeningWithin and RequestWithin are the times without any packet of the
 	// upstream after which it counts as silent, from an opening and from a
 	// request on.
@@ -42,6 +48,8 @@
 		MissedHeartbeats: 3, // one may be lost, one may be late
 		QueuePerSlot:     4,
 		QueueShare:       0.5,
+		LessImportant:    0.5,
+		YoungDeny:        true,
 		OpeningWithin:    150 * time.Millisecond, // an upstream answers an opening within a millisecond
 		RequestWithin:    time.Second,            // it answers a request after its work, which may be slow
 		Reserve:          100 * time.Millisecond, // several round trips to a caller
@@ -233,7 +241,7 @@
 	if g.upstream.boot == 0 && now.Sub(g.started) > g.missedAfter() {
 		return false // nobody is there
 	}
-	return service == g.config.Service.Key() && !g.upstream.young && now.Sub(g.started) <= g.lifetime()
+	return service == g.config.Service.Key() && (!g.config.YoungDeny || !g.upstream.young) && now.Sub(g.started) <= g.lifetime()
 }
 
 // unknown decides on a packet of a flow that the gate doesn't hold. While flows
--- a/admission/opening.go
+++ b/admission/opening.go
@@ -103,15 +103,11 @@
 		perSlot = min(perSlot, g.config.QueueShare*float64(o.Objective)/float64(g.work.get()))
 	}
 	if o.Priority > importantPriority && g.queue.stands(now) {
-		perSlot *= lessImportant
+		perSlot *= g.config.LessImportant
 	}
 	return slots + int(perSlot*float64(slots)+0.5)
 }
 
-// lessImportant is the part of the queue that is open to requests of lower
-// priority; the rest is kept for the important ones.
-const lessImportant = 0.5
-
 // importantPriority is the last priority whose openings may use the whole
 // queue: that of the users' orders.
 const importantPriority bramleyfall.Priority = 1
--- a/measure/load_ways.go
+++ b/measure/load_ways.go
@@ -5,9 +5,7 @@
 	"time"
 
 	"bramleyfall.example/bramleyfall"
-	"bramleyfall.example/bramleyfall/admission"
 	"bramleyfall.example/bramleyfall/caller"
-	"bramleyfall.example/bramleyfall/placement"
 	"bramleyfall.example/bramleyfall/upstream"
 )
 
@@ -42,17 +40,8 @@
 	return otherDomain
 }
 
-// directWay is the direct mode: placers at the balancers, gates at the upstreams.
-type directWay struct {
-	*loadPlay
-	placers []*placement.Placer
-	gates   []*admission.Gate
-	// claims holds the balancers that wait for word of a flow.
-	claims map[bramleyfall.Flow]int
-}
-
+// newDirectWay is the direct mode.
 func newDirectWay(p *loadPlay) loadWay {
-	d := &directWay{loadPlay: p, claims: make(map[bramleyfall.Flow]int)}
 	s := &bramleyfall.Snapshot{
 		Version: 1, Routes: make(map[bramleyfall.Endpoint]*bramleyfall.Route), IdleTimeout: 15 * time.Second,
 		Services: map[bramleyfall.ServiceName]bramleyfall.ServiceLimits{
@@ -66,140 +55,31 @@
 			Priority: bramleyfall.Priority(2 - priority), Idempotent: !orders,
 		}
 	}
+	l := &plant{snapshot: s, beatEvery: time.Second, delay: loadDelay, lost: func() bool { return false }}
 	for n := range loadBalancers {
-		placer := placement.New(placement.WithDomain(loadDomain(n)))
-		placer.Configure(s)
-		for m := range p.servers {
-			placer.Announce(bramleyfall.Announcement{
-				Instance: bramleyfall.InstanceID(fmt.Sprintf("agent-%d", m)), Boot: 1, Service: loadService,
-				Domain: loadDomain(m), Packets: loadAgent(m), Slots: loadSlots,
-			})
-		}
-		placer.Listed(p.Now())
-		d.placers = append(d.placers, placer)
-		const tick = 20 * time.Millisecond
-		p.Every(tick, tick, func() bool {
-			d.decided(n, placer.Tick(p.Now()), nil)
-			return true
-		})
+		l.balancers = append(l.balancers, loadDomain(n))
 	}
 	for n := range p.servers {
-		d.startGate(n, s)
+		l.agents = append(l.agents, agentSpec{loadDomain(n), loadService, loadSlots})
 	}
-	return d
-}
-
-func loadAgent(n int) bramleyfall.Endpoint {
-	return bramleyfall.Endpoint{IP: [4]byte{10, 0, 0, byte(n + 1)}, Port: 8000}
-}
-
-// startGate starts the agent of an upstream, which hears its heartbeats and
-// reports to all balancers.
-func (d *directWay) startGate(n int, s *bramleyfall.Snapshot) {
-	gate, err := admission.New(d.Now(), admission.WithService(loadService), admission.WithHeartbeat(time.Second))
-	if err != nil {
-		panic(err) // the chart in the package is broken
-	}
-	gate.Configure(s, d.Now())
-	d.gates = append(d.gates, gate)
-	beats := uint64(0)
-	d.Every(0, time.Second, func() bool {
-		beats++
-		h := bramleyfall.Heartbeat{
-			Upstream: "upstream", Boot: 1, Service: loadService, Domain: loadDomain(n), Slots: loadSlots, Sequence: beats,
-		}
-		if d.servers[n].cold {
-			h.ColdFor = time.Minute
-		}
-		gate.Heartbeat(h, d.Now())
-		return true
-	})
-	const reportEvery = 100 * time.Millisecond
-	d.Every(reportEvery, reportEvery, func() bool {
-		gate.Sweep(d.Now())
-		for balancer := range d.placers {
-			d.answer(n, balancer, func(*placement.Placer) []placement.Decision { return nil })
-		}
-		return true
-	})
-}
-
-func (d *directWay) fromCaller(balancer int, p bramleyfall.Packet) {
-	d.decided(balancer, d.placers[balancer].FromCaller(&p, d.Now()), p.Raw)
+	return newDirect(p.Queue, p, l, p.random)
 }
 
-// decided carries out a balancer's decisions; raw is the packet at hand.
-func (d *directWay) decided(balancer int, decisions []placement.Decision, raw []byte) {
-	for i := range decisions {
-		decision := decisions[i]
-		if decision.Raw == nil {
-			decision.Raw = raw
-		}
-		switch decision.Kind {
-		case bramleyfall.ActionRefuse:
-			d.toCaller(bramleyfall.Packet{Flow: decision.Flow.Reverse(), Kind: bramleyfall.KindReset})
-		case bramleyfall.ActionPass:
-			for _, target := range decision.Targets {
-				n := int(target.Address.IP[3]) - 1
-				d.After(loadDelay(balancer, n), func() { d.atAgent(n, balancer, &decision) })
-			}
-		}
-	}
+// deliver implements ends.
+func (p *loadPlay) deliver(server int, packet bramleyfall.Packet) bool {
+	return p.servers[server].take(packet)
 }
 
-// atAgent takes a balancer's message.
-func (d *directWay) atAgent(n, balancer int, decision *placement.Decision) {
-	gate := d.gates[n]
-	if decision.Lookup {
-		holding := gate.Holding(decision.Flow, loadService.Key(), decision.Ack, d.Now())
-		d.answer(n, balancer, func(placer *placement.Placer) []placement.Decision {
-			if holding == admission.Holds {
-				return placer.Owned(decision.Flow, loadAgent(n), d.Now())
-			}
-			return placer.NotOwned(decision.Flow, loadAgent(n), d.Now())
-		})
-		return
+// heartbeat implements ends.
+func (p *loadPlay) heartbeat(server int) (bramleyfall.Heartbeat, bool) {
+	h := bramleyfall.Heartbeat{
+		Upstream: "upstream", Boot: 1, Service: loadService, Domain: loadDomain(server), Slots: loadSlots,
+		Sequence: uint64(p.Now().UnixNano()),
 	}
-	p := d.packet(decision.Raw)
-	action := gate.FromBalancer(&p, admission.Offer{
-		Service: loadService.Key(), Version: 1, Priority: decision.Priority, Objective: decision.Objective,
-		Must: decision.Must, Idempotent: decision.Idempotent, Offered: decision.Offer,
-	}, d.Now())
-	if action.Kind == bramleyfall.ActionDeliver {
-		if p.Kind == bramleyfall.KindOpening {
-			d.claims[p.Flow] = balancer
-		}
-		if d.servers[n].take(p) {
-			return
-		}
-		action = gate.Returned(&p, d.Now())
-	}
-	if action.Kind == bramleyfall.ActionPass {
-		d.answer(n, balancer, func(placer *placement.Placer) []placement.Decision {
-			return placer.Returned(&p, loadAgent(n), action.Code, d.Now())
-		})
-	}
-}
-
-// answer sends a balancer the load of an upstream, and what then decides there.
-func (d *directWay) answer(n, balancer int, then func(*placement.Placer) []placement.Decision) {
-	load := d.gates[n].Load(d.Now())
-	d.After(loadDelay(balancer, n), func() {
-		placer := d.placers[balancer]
-		placer.Report(loadAgent(n), loadService.Key(), load, d.Now())
-		d.decided(balancer, then(placer), nil)
-	})
-}
-
-func (d *directWay) fromServer(n int, p bramleyfall.Packet) {
-	action := d.gates[n].FromUpstream(&p, d.Now())
-	if balancer, ok := d.claims[action.Flow]; ok && action.Opened {
-		delete(d.claims, action.Flow)
-		d.answer(n, balancer, func(placer *placement.Placer) []placement.Decision {
-			return placer.Owned(action.Flow, loadAgent(n), d.Now())
-		})
+	if p.servers[server].cold {
+		h.ColdFor = time.Minute
 	}
-	d.toCaller(p)
+	return h, true
 }
 
 // hopListWay is the project's own interface: hop lists, and gates that pass
@@ -224,7 +104,7 @@
 		key := bramleyfall.KeyOf(string(id))
 		h.keys[key] = n
 		entry.Names = append(entry.Names, id)
-		entry.Candidates = append(entry.Candidates, upstream.Candidate{Upstream: key, Boot: boot, Open: true, Address: loadAgent(n)})
+		entry.Candidates = append(entry.Candidates, upstream.Candidate{Upstream: key, Boot: boot, Open: true, Address: agentAddress(n)})
 		gate, err := caller.NewFlowGate(p.Now(), caller.WithUpstream(key), caller.WithCapacity(loadSlots, connections),
 			caller.WithAdoption(0), caller.WithWarmUp(time.Minute))
 		if err != nil {
--- a/measure/main.go
+++ b/measure/main.go
@@ -24,12 +24,20 @@
 	hints := s.Int("hints", 65536, "owner hints of a balancer; 0 for none")
 	share := s.Float64("share", defaultShare, "bounded-load factor; 0 for none")
 	folder := s.String("plot", "", "folder for pictures of the service kept in each second; none are drawn without")
+	file := s.String("experiment", "", "settings file of an experiment that is played instead")
 	check := func() {
 		if *only != "" && scenarios[*only] == nil {
 			s.Fault("scenario", "%q is none of %v", *only, scenarioNames)
 		}
 	}
 	return settings.Run(s, args, check, func() error {
+		if *file != "" {
+			e, err := readExperiment(*file)
+			if err != nil {
+				return err
+			}
+			return e.run(os.Stdout, os.Stderr, *folder)
+		}
 		plays := chosenPlays(*only, *router, *deployment, play{seed: *seed, hints: *hints, share: *share})
 		playAll(plays)
 		for _, p := range plays {
--- a/measure/plot.go
+++ b/measure/plot.go
@@ -26,7 +26,7 @@
 			if len(lines) == 0 {
 				continue
 			}
-			if err := drawLines(filepath.Join(folder, d.name+"-"+scenario+".png"), d.name+" "+scenario, lines); err != nil {
+			if err := drawLines(filepath.Join(folder, d.name+"-"+scenario+".png"), d.name+" "+scenario, "answered within 2 s", lines); err != nil {
 				return err
 			}
 		}
@@ -34,12 +34,12 @@
 	return nil
 }
 
-func drawLines(file, title string, lines []any) error {
+func drawLines(file, title, axis string, lines []any) error {
 	const width, height = 16 * vg.Centimeter, 9 * vg.Centimeter
 	p := plot.New()
 	p.Title.Text = title
 	p.X.Label.Text = "second"
-	p.Y.Label.Text = "answered within 2 s"
+	p.Y.Label.Text = axis
 	p.Y.Min, p.Y.Max = 0, 1
 	p.Legend.Left = true
 	if err := plotutil.AddLines(p, lines...); err != nil {
--- /dev/null
+++ b/measure/policies.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"time"
+
+	"bramleyfall.example/bramleyfall/admission"
+	"bramleyfall.example/bramleyfall/placement"
+)
+
+// policy changes what decisions are made by.
+type policy struct {
+	placement []placement.Option
+	admission []admission.Option
+}
+
+// directDay is the direct mode on a day.
+type directDay struct{ *direct }
+
+func newDirectDay(p *dayPlay, o policy) dayWay {
+	return directDay{newDirect(p.Queue, p, p.plant(o), p.random)}
+}
+
+// fall implements dayWay.
+func (d directDay) fall() {
+	clear(d.placers)
+	clear(d.gates)
+	clear(d.claims)
+}
+
+func placing(o placement.Option) policy { return policy{placement: []placement.Option{o}} }
+
+func admitting(o admission.Option) policy { return policy{admission: []admission.Option{o}} }
+
+// never is longer than any wait of a caller.
+const never = time.Minute
+
+// switches turn mechanisms off, by their names.
+var switches = map[string]policy{
+	// SecondOffers has an opening that one upstream refused offered to others.
+	"SecondOffers": placing(func(c *placement.Config) { c.MaxTries = 1 }),
+	// Queue lets openings wait for a slot when none is free.
+	"Queue": admitting(func(c *admission.Config) { c.QueuePerSlot = 0 }),
+	// QueueByObjective bounds the wait by the objective.
+	"QueueByObjective": admitting(func(c *admission.Config) { c.QueueShare = 1000 }),
+	// QueueForOrders keeps half of a standing queue for orders.
+	"QueueForOrders": admitting(func(c *admission.Config) { c.LessImportant = 1 }),
+	// RemoteCost prefers upstreams of the own failure domain.
+	"RemoteCost": placing(func(c *placement.Config) { c.RemoteCost = 0 }),
+	// ColdCost prefers upstreams that aren't cold.
+	"ColdCost": placing(func(c *placement.Config) { c.ColdCost = 0 }),
+	// SilentGivenUp ends flows whose agents are silent.
+	"SilentGivenUp": placing(func(c *placement.Config) { c.LostAfter, c.OrderLostAfter = never, never }),
+	// OrdersWaitLonger waits longer for the silent agents of orders.
+	"OrdersWaitLonger": placing(func(c *placement.Config) { c.OrderLostAfter = c.LostAfter }),
+	// OwnDomainFirst asks the agents of the own failure domain first for a flow.
+	"OwnDomainFirst": placing(func(c *placement.Config) { c.OwnDomainFirst = false }),
+	// YoungDeny has agents whose upstream started with them deny unknown flows.
+	"YoungDeny": admitting(func(c *admission.Config) { c.YoungDeny = false }),
+}
+
+// without returns the policy with some mechanisms turned off.
+func without(names []string) policy {
+	var p policy
+	for _, name := range names {
+		p.placement = append(p.placement, switches[name].placement...)
+		p.admission = append(p.admission, switches[name].admission...)
+	}
+	return p
+}
--- a/placement/lookup.go
+++ b/placement/lookup.go
@@ -104,7 +104,7 @@
 	}
 	p.lookups = append(p.lookups, lookup{packet.Flow, now})
 	first := stageOwnDomain
-	if len(s.denied) > 0 || f.owner != nil {
+	if len(s.denied) > 0 || f.owner != nil || !p.config.OwnDomainFirst {
 		first = stageServices
 	}
 	p.spread(packet.Flow, f, first, now)
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -52,6 +52,9 @@
 	// none of its route's services holds. Where there are more, it may be held by
 	// one that isn't asked, and is never reset.
 	MaxAsked int
+	// OwnDomainFirst is set where the agents of the own failure domain are asked
+	// for a flow before all others.
+	OwnDomainFirst bool
 	// MaxTries is the number of upstreams that an opening is offered to.
 	MaxTries int
 }
@@ -72,6 +75,7 @@
 		RelistWithin:   2750 * time.Millisecond,
 		ListEvery:      500 * time.Millisecond,
 		MaxAsked:       256,
+		OwnDomainFirst: true,
 		MaxTries:       5,
 	}
 }
