--- a/replay/main.go
+++ b/replay/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/settings"
@@ -20,9 +21,15 @@
 func run(args []string) int {
 	s := settings.New("replay", "checks recorded traces: replay [flags] trace ...")
 	expect := s.String("expect", "Mismatches=0,WrongService=0", "outcomes that each trace must have, beside those that it states")
+	logs := s.String("log", "", "file with the log lines of processes: what became of openings, instead of traces")
+	step := s.Duration("step", time.Second, "interval that the lines of a log are counted by")
+	points := s.String("points", "", "file for the counts of a log as points that slopes draws")
 	var outcomes []bramleyfall.TraceEvent
 	check := func() {
-		if s.NArg() == 0 {
+		if *step <= 0 {
+			s.Fault("step", "must be above zero")
+		}
+		if s.NArg() == 0 && *logs == "" {
 			s.Fault("expect", "name at least one trace")
 		}
 		for _, text := range s.Names(*expect) {
@@ -35,6 +42,9 @@
 		}
 	}
 	return settings.Run(s, args, check, func() error {
+		if *logs != "" {
+			return showLosses(*logs, *points, *step)
+		}
 		for _, name := range s.Args() {
 			if err := replay(name, outcomes); err != nil {
 				return err
@@ -44,6 +54,30 @@
 	})
 }
 
+// showLosses prints what a log says of openings, and writes it as points where a
+// file is named.
+func showLosses(name, points string, step time.Duration) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	l, err := readLosses(file, step)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	l.print(os.Stdout)
+	if points == "" {
+		return nil
+	}
+	out, err := os.Create(points)
+	if err != nil {
+		return err
+	}
+	l.points(out)
+	return out.Close()
+}
+
 func replay(name string, outcomes []bramleyfall.TraceEvent) error {
 	file, err := os.Open(name)
 	if err != nil {
