Take no late copy of an answer for the answer to the next call

Cause: operators of similar systems told of servers that send a second copy of an answer late, on a connection that is in use again. Looked for in our code: flows of callers aren't read here and their ends tell copies by sequence numbers. The health of an upstream on the own interface was read from whatever came first, so that one that drains could count as serving. Ruled out: answers of a call that was given up; their connections are closed. Health is asked for on a connection of its own each time. Left: a second copy of the answer to a renewal; the next renewal, 2 s later, or the balancers' probes show that the entry is gone.

--- a/agent/health.go
+++ b/agent/health.go
@@ -37,7 +37,7 @@
 // runHealth watches which run of the upstream is there. Beside a look at fixed
 // times it looks at once when the connection that runAttached holds ends.
 func (s *server) runHealth(ctx context.Context) {
-	client := &http.Client{Timeout: healthTimeout}
+	client := newHealthClient()
 	ticker := time.NewTicker(healthEvery)
 	defer ticker.Stop()
 	misses := 0
@@ -63,6 +63,13 @@
 	}
 }
 
+// newHealthClient returns a client that asks on a connection of its own each time:
+// a late second copy of an answer would be taken for the next one, and a drained
+// upstream for one that serves.
+func newHealthClient() *http.Client {
+	return &http.Client{Timeout: healthTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
 // runAttached holds an idle connection to the health endpoint. Its end shows at
 // once that the upstream's process may have stopped.
 func (s *server) runAttached(ctx context.Context) {
