Let requests wait only while their answers are expected in time

The time of the work was learned only from requests that found a free slot, so never then, and the wait alone was held against half of the objective. Changed: the expected time to the answer is held against 0.65 of the objective, at a cold upstream against 0.4; the time of the work is learned from the times between answers too while no slot is free. TestWaveAboveCapacity: one case is replaced by two; at a work as long as the objective nothing may wait any more, since its answer would be late. TestColdUpstreamKeepsAShortQueue, TestWorkIsLearnedWhileNoSlotIsFree failed before; TestColdQueue plays the load and compares what callers get.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -23,9 +23,11 @@
 	// QueuePerSlot bounds the requests that may wait for each slot when no other
 	// upstream takes an opening: upstreams queue a few themselves.
 	QueuePerSlot float64
-	// QueueShare is the share of the objective that a request may spend waiting
-	// for a slot.
-	QueueShare float64
+	// AnswerShare is the share of the objective within which the answer to a request
+	// that waits for a slot is expected. The rest is left to the network.
+	AnswerShare float64
+	// ColdAnswerShare is that at a cold upstream.
+	ColdAnswerShare float64
 	// LessImportant is the part of a standing queue that is open to requests of lower
 	// priority; the rest is kept for the important ones.
 	LessImportant float64
@@ -47,7 +49,8 @@
 		HeartbeatEvery:   time.Second,
 		MissedHeartbeats: 3, // one may be lost, one may be late
 		QueuePerSlot:     4,
-		QueueShare:       0.5,
+		AnswerShare:      0.65,
+		ColdAnswerShare:  0.4,
 		LessImportant:    0.5,
 		YoungDeny:        true,
 		OpeningWithin:    150 * time.Millisecond, // an upstream answers an opening within a millisecond
@@ -307,8 +310,10 @@
 		if f.waiting && !f.asked.IsZero() {
 			g.noteAnswer(key, now.Sub(f.asked), p.Length, now)
 		}
+		if f.waiting {
+			g.work.answered(f.asked, now, g.busy, g.upstream.slots)
+		}
 		g.setWaiting(f, false, now)
-		g.work.learn(f.asked, now)
 		f.asked = time.Time{}
 	}
 	return action
@@ -411,4 +416,7 @@
 		g.busy--
 	}
 	g.queue.note(now, g.busy > g.upstream.slots)
+	if g.busy < g.upstream.slots {
+		g.work.idle()
+	}
 }
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -158,9 +158,10 @@
 		admitted  int
 	}{
 		{"another upstream may have a slot", 120 * time.Millisecond, 20 * time.Millisecond, 2, false, 2},
-		{"orders wait for half of their objective", 120 * time.Millisecond, 20 * time.Millisecond, 1, true, 2 + 6},
+		{"orders wait while their answers are in time", 120 * time.Millisecond, 20 * time.Millisecond, 1, true, 2 + 6},
 		{"so does the feed in a burst", 120 * time.Millisecond, 20 * time.Millisecond, 2, true, 2 + 6},
-		{"slow work leaves little time to wait", 120 * time.Millisecond, 120 * time.Millisecond, 1, true, 2 + 1},
+		{"slow work leaves little time to wait", 120 * time.Millisecond, 60 * time.Millisecond, 1, true, 2 + 1},
+		{"none waits whose answer would be late", 120 * time.Millisecond, 120 * time.Millisecond, 1, true, 2},
 		{"the queue is bounded", 10 * time.Second, 20 * time.Millisecond, 1, true, 2 + 8},
 	}
 	for _, test := range tests {
@@ -190,6 +191,53 @@
 
 // The callers of an upstream that ended are told while their flows are idle, so
 // that no order is sent into one.
+// An upstream that has just started is slow, and all callers come back to it at the
+// same moment: its queue is shorter.
+func TestColdUpstreamKeepsAShortQueue(t *testing.T) {
+	is := is.New(t)
+	b := newBeside(t)
+	b.beat(bramleyfall.Heartbeat{ColdFor: 2 * time.Second})
+	o := admission.Offer{Service: railbook.Key(), Version: 1, Priority: 1, Objective: 120 * time.Millisecond, Must: true}
+	for n := range 20 {
+		if b.open(n, o) == bramleyfall.OK {
+			b.request(n)
+		}
+	}
+	is.Equal(b.Busy(), 2+3)
+}
+
+// While no slot is free, the times between answers tell how long the work takes.
+func TestWorkIsLearnedWhileNoSlotIsFree(t *testing.T) {
+	is := is.New(t)
+	b := newBeside(t)
+	o := admission.Offer{Service: railbook.Key(), Version: 1, Priority: 1, Objective: 120 * time.Millisecond, Must: true}
+	const work, slots = 60 * time.Millisecond, 2
+	var admitted []int
+	next := 0
+	ask := func() {
+		if b.open(next, o) == bramleyfall.OK {
+			b.request(next)
+			admitted = append(admitted, next)
+		}
+		next++
+	}
+	for range 20 {
+		ask()
+	}
+	is.Equal(b.Busy(), slots+6) // as if it took the 20 ms that are assumed at first
+	for range 60 {
+		b.after(work / slots)
+		b.answer(admitted[0])
+		admitted = admitted[1:]
+		ask()
+		b.beat(bramleyfall.Heartbeat{})
+	}
+	for range 20 {
+		ask()
+	}
+	is.Equal(b.Busy(), slots+1)
+}
+
 func TestCallersLearnThatTheirUpstreamEnded(t *testing.T) {
 	is := is.New(t)
 	b := newBeside(t)
--- a/admission/meter.go
+++ b/admission/meter.go
@@ -84,16 +84,35 @@
 	workWeight = 0.1
 )
 
-// workTime is the mean time in which the upstream answers a request that finds a
-// free slot.
-type workTime struct{ mean time.Duration }
+// workTime is the mean time for which a request holds a slot. It is learned from
+// requests that found a free slot, and from the times between answers while none
+// was free: an upstream that has just started may be slow.
+type workTime struct {
+	mean time.Duration
+	// last is when the last answer came while no slot was free since, or zero.
+	last time.Time
+}
 
-// learn takes a request that was delivered at asked and answered at now.
-func (w *workTime) learn(asked, now time.Time) {
-	if asked.IsZero() {
-		return
+// answered takes the answer to a request that was delivered at asked, where it
+// found a free slot, and the number of requests that were under way until now.
+func (w *workTime) answered(asked, now time.Time, busy, slots int) {
+	switch {
+	case !asked.IsZero():
+		w.learn(now.Sub(asked))
+	case !w.last.IsZero():
+		w.learn(time.Duration(slots) * now.Sub(w.last))
+	}
+	w.last = time.Time{}
+	if busy > slots {
+		w.last = now
 	}
-	w.mean = time.Duration((1-workWeight)*float64(w.get()) + workWeight*float64(now.Sub(asked)))
+}
+
+// idle notes that a slot is free.
+func (w *workTime) idle() { w.last = time.Time{} }
+
+func (w *workTime) learn(took time.Duration) {
+	w.mean = time.Duration((1-workWeight)*float64(w.get()) + workWeight*float64(took))
 }
 
 func (w *workTime) get() time.Duration {
--- a/admission/opening.go
+++ b/admission/opening.go
@@ -98,9 +98,12 @@
 	if !o.Must {
 		return slots
 	}
-	perSlot := g.config.QueuePerSlot
+	perSlot, share := g.config.QueuePerSlot, g.config.AnswerShare
+	if g.upstream.cold(now) {
+		share = g.config.ColdAnswerShare
+	}
 	if o.Objective > 0 {
-		perSlot = min(perSlot, g.config.QueueShare*float64(o.Objective)/float64(g.work.get()))
+		perSlot = min(perSlot, max(0, share*float64(o.Objective)/float64(g.work.get())-1))
 	}
 	if o.Priority > importantPriority && g.queue.stands(now) {
 		perSlot *= g.config.LessImportant
--- a/measure/day_test.go
+++ b/measure/day_test.go
@@ -44,6 +44,26 @@
 	}
 }
 
+// TestColdQueue plays the return after a loss of power: all callers come back at the
+// same moment, and what waits long at a cold upstream is late.
+func TestColdQueue(t *testing.T) {
+	t.Parallel()
+	var with, without []float64
+	for _, d := range days() {
+		if d.Site != &sites[0] || !d.Power {
+			continue
+		}
+		for seed := uint64(1); seed <= 3; seed++ {
+			with = append(with, (&variant{Router: routerDirect}).play(&d, seed).tally.service())
+			without = append(without, (&variant{Router: routerDirect, Off: []string{"ColdQueue"}}).play(&d, seed).tally.service())
+		}
+	}
+	t.Logf("%.4f, without %.4f", mean(with), mean(without))
+	if mean(with) <= mean(without) {
+		t.Errorf("%.4f is no more than %.4f without", mean(with), mean(without))
+	}
+}
+
 // A settings file that can't be played is refused by what is wrong with it.
 func TestExperimentIsChecked(t *testing.T) {
 	direct := variant{Name: "AsIs", Router: routerDirect}
--- a/measure/experiment.go
+++ b/measure/experiment.go
@@ -14,8 +14,6 @@
 
 	"github.com/cockroachdb/errors"
 	"gonum.org/v1/plot/plotter"
-
-	"bramleyfall.example/bramleyfall/admission"
 )
 
 // dayRouter is what places the requests of a day.
@@ -34,9 +32,6 @@
 	Router dayRouter
 	// Off names the mechanisms that are turned off.
 	Off []string
-	// QueueShare is the share of the objective for which a request may wait for a
-	// slot, where it is not the usual one.
-	QueueShare float64
 	// Insight tells what an omniscient router knows of the age of a request.
 	Insight insight
 }
@@ -96,22 +91,13 @@
 	})
 }
 
-// policy returns what the decisions of the direct mode are made by.
-func (v *variant) policy() policy {
-	p := without(v.Off)
-	if v.QueueShare > 0 {
-		p.admission = append(p.admission, func(c *admission.Config) { c.QueueShare = v.QueueShare })
-	}
-	return p
-}
-
 // play plays a day once.
 func (v *variant) play(d *day, seed uint64) *dayPlay {
 	p := newDayPlay(d, seed)
 	if v.Router == routerOmniscient {
 		p.way = newOmniscient(p, v.Insight)
 	} else {
-		p.way = newDirectDay(p, v.policy())
+		p.way = newDirectDay(p, without(v.Off))
 	}
 	p.run()
 	return p
--- a/measure/policies.go
+++ b/measure/policies.go
@@ -41,7 +41,9 @@
 	// Queue lets openings wait for a slot when none is free.
 	"Queue": admitting(func(c *admission.Config) { c.QueuePerSlot = 0 }),
 	// QueueByObjective bounds the wait by the objective.
-	"QueueByObjective": admitting(func(c *admission.Config) { c.QueueShare = 1000 }),
+	"QueueByObjective": admitting(func(c *admission.Config) { c.AnswerShare, c.ColdAnswerShare = 1000, 1000 }),
+	// ColdQueue keeps the queue of a cold upstream shorter.
+	"ColdQueue": admitting(func(c *admission.Config) { c.ColdAnswerShare = c.AnswerShare }),
 	// QueueForOrders keeps half of a standing queue for orders.
 	"QueueForOrders": admitting(func(c *admission.Config) { c.LessImportant = 1 }),
 	// RemoteCost prefers upstreams of the own failure domain.
