--- a/directory/mark.go
+++ b/directory/mark.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,9 +20,13 @@
 	// markKey is where the watch of the agents' entries brings it.
 	markKey = rosterPrefix + "mark"
 	// markEvery is the least time between two marks: longer than an agent takes to
-	// write its entry again that has lapsed, and no less than the wait of a watch,
-	// so that marks cost few calls.
-	markEvery = rosterWait
+	// write its entry again that has lapsed.
+	markEvery = 4500 * time.Millisecond
+	// markWithin is the time after that within which each balancer draws the moment
+	// at which it writes one, if no other has done so. The watch that brings a mark
+	// would have ended soon without it, so that marks cost few calls; many at the
+	// same moment would cost each balancer one for each.
+	markWithin = rosterWait - markEvery
 	// marksNamed is the number of earlier marks that one names: more are older than
 	// a history of 20 s.
 	marksNamed = 2
@@ -39,8 +44,17 @@
 type marks struct {
 	last     int64
 	previous []int64
-	// seen is when a mark was seen last, or written.
-	seen time.Time
+	// next is when one is to be written.
+	next time.Time
+	// draw returns a random time below a bound.
+	draw func(time.Duration) time.Duration
+}
+
+func newMarks() marks { return marks{draw: rand.N[time.Duration]} }
+
+// seen notes that a mark was seen or written, or that none can be known of yet.
+func (m *marks) seen(now time.Time) {
+	m.next = now.Add(markEvery + m.draw(markWithin))
 }
 
 // take notes a mark.
@@ -50,15 +64,16 @@
 	}
 	var value mark
 	err := json.Unmarshal(pair.Value, &value)
-	m.last, m.previous, m.seen = pair.ModRevision, value.Previous, now
+	m.last, m.previous = pair.ModRevision, value.Previous
+	m.seen(now)
 	return errors.Wrap(err, "mark")
 }
 
 // due returns the time until a mark is to be written.
-func (m *marks) due(now time.Time) time.Duration { return markEvery - now.Sub(m.seen) }
+func (m *marks) due(now time.Time) time.Duration { return m.next.Sub(now) }
 
-// next returns what the next mark names.
-func (m *marks) next() []int64 {
+// names returns what the next mark names.
+func (m *marks) names() []int64 {
 	if m.last == 0 {
 		return nil
 	}
@@ -73,8 +88,8 @@
 	if r.marks.due(now) > 0 {
 		return nil
 	}
-	r.marks.seen = now
-	value, err := json.Marshal(mark{Previous: r.marks.next()})
+	r.marks.seen(now)
+	value, err := json.Marshal(mark{Previous: r.marks.names()})
 	if err != nil {
 		return err
 	}
--- a/directory/members.go
+++ b/directory/members.go
@@ -76,6 +76,7 @@
 func NewRoster(store bramleyfall.Store, clock bramleyfall.Clock, members Members, health Dependency) *Roster {
 	return &Roster{
 		store: store, clock: clock, members: members, health: health, listed: make(map[string]int64),
+		marks:   newMarks(),
 		refresh: make(chan struct{}, 1),
 	}
 }
@@ -111,7 +112,7 @@
 		return err
 	}
 	if !r.begun {
-		r.marks.seen = asOf
+		r.marks.seen(asOf)
 	}
 	r.replace(pairs)
 	if !r.begun {
