Wait longer for an agent that was heard before its flows are given up

A machine that is only held up must not have its work given up. Ruled out: the agent didn't restart (no Started line); the balancers were heard and answered by all others. Changed: an agent that was heard is waited for as long as for orders, 1.2 s; 350 ms hold only for one that never was, as after the start of all.

--- a/measure/policies.go
+++ b/measure/policies.go
@@ -51,9 +51,9 @@
 	// ColdCost prefers upstreams that aren't cold.
 	"ColdCost": placing(func(c *placement.Config) { c.ColdCost = 0 }),
 	// SilentGivenUp ends flows whose agents are silent.
-	"SilentGivenUp": placing(func(c *placement.Config) { c.LostAfter, c.OrderLostAfter = never, never }),
-	// OrdersWaitLonger waits longer for the silent agents of orders.
-	"OrdersWaitLonger": placing(func(c *placement.Config) { c.OrderLostAfter = c.LostAfter }),
+	"SilentGivenUp": placing(func(c *placement.Config) { c.LostAfter, c.GoneAfter = never, never }),
+	// HeldUpWaitedFor waits longer for silent agents that were heard, or for orders.
+	"HeldUpWaitedFor": placing(func(c *placement.Config) { c.LostAfter = c.GoneAfter }),
 	// OwnDomainFirst asks the agents of the own failure domain first for a flow.
 	"OwnDomainFirst": placing(func(c *placement.Config) { c.OwnDomainFirst = false }),
 	// YoungDeny has agents whose upstream started with them deny unknown flows.
--- a/placement/lookup.go
+++ b/placement/lookup.go
@@ -309,11 +309,13 @@
 	if len(f.search.denied) == 0 {
 		return false
 	}
-	after := p.config.LostAfter
-	if route := p.snapshot.Routes[flow.Destination]; route != nil && !route.Idempotent {
-		after = p.config.OrderLostAfter
-	}
+	route := p.snapshot.Routes[flow.Destination]
+	repeated := route == nil || route.Idempotent
 	for _, u := range f.search.asked {
+		after := p.config.LostAfter
+		if repeated && u.loadAt.IsZero() {
+			after = p.config.GoneAfter
+		}
 		if !slices.Contains(f.search.denied, u.Packets) && !u.silent(after, now) {
 			return false
 		}
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -28,10 +28,11 @@
 	// sent something counts as silent: an agent reports ten times a second.
 	SilentAfter time.Duration
 	// LostAfter is the time after which the flows of a silent agent are given up
-	// where a caller waits, and OrderLostAfter that of flows whose requests may
-	// not be repeated: a reset loses them, while an agent that was only restarted
-	// is back by then.
-	LostAfter, OrderLostAfter time.Duration
+	// that was heard before, where a caller waits, and of one where requests may not
+	// be repeated: it may only be held up, or restarted, and a reset would end what
+	// its upstream works on. GoneAfter is that for other flows at an agent that was
+	// never heard.
+	LostAfter, GoneAfter time.Duration
 	// ProbeEvery is the time between two probes of a silent agent.
 	ProbeEvery time.Duration
 	// UnlistedFor is how long an agent whose entry was removed from the store is
@@ -66,8 +67,8 @@
 		ColdCost:       0.5,
 		OpeningWithin:  45 * time.Millisecond,
 		SilentAfter:    250 * time.Millisecond,
-		LostAfter:      350 * time.Millisecond,
-		OrderLostAfter: 1200 * time.Millisecond,
+		LostAfter:      1200 * time.Millisecond,
+		GoneAfter:      350 * time.Millisecond,
 		ProbeEvery:     200 * time.Millisecond,
 		UnlistedFor:    20 * time.Second,
 		FreshFor:       time.Second,
