Ask agents again that are heard for the first time, and don't wait for withdrawn ones

Two reasons: an agent whose upstream had been released was waited for as one that may be back, and questions that reached an agent before it had started were lost, while its later messages showed that it is there, so that it never counted as silent. Changed: an agent writes the key of its entry by the call that removes it; it is waited for 45 ms. Agents that were never heard are probed every 40 ms for 0.35 s, and asked once more, when they are heard first, what they left unanswered. Marks name three earlier ones, since they are closer now. TestAgentThatHasJustStartedIsAskedAgain, TestWithdrawnAgentIsNotWaitedFor and TestWithdrawnEntries failed before. TestMarks: a mark names three.

--- a/direct/balancer.go
+++ b/direct/balancer.go
@@ -389,6 +389,14 @@
 	b.telemetry.Log.Info().Str("Event", "AgentUnlisted").Str("Agent", string(instance)).Msg("")
 }
 
+// Withdraw implements directory.Members.
+func (b *Balancer) Withdraw(instance bramleyfall.InstanceID) {
+	b.mu.Lock()
+	b.placer.Withdraw(instance)
+	b.mu.Unlock()
+	b.telemetry.Log.Info().Str("Event", "AgentWithdrawn").Str("Agent", string(instance)).Msg("")
+}
+
 // Incomplete implements directory.Members.
 func (b *Balancer) Incomplete(reason error) {
 	b.mu.Lock()
--- a/directory/announcer.go
+++ b/directory/announcer.go
@@ -121,7 +121,7 @@
 	if wanted != nil && a.written != nil && *a.written == *wanted && !settle {
 		return a.store.KeepAlive(ctx, a.lease)
 	}
-	write := bramleyfall.Write{Key: a.key, Delete: true}
+	writes := withdrawal(a.key)
 	if wanted != nil {
 		if err := a.takeLease(ctx); err != nil {
 			return err
@@ -130,10 +130,10 @@
 		if err != nil {
 			return err
 		}
-		write = bramleyfall.Write{Key: agentKey(wanted), Value: value, Lease: a.lease}
-		a.key = write.Key
+		a.key = agentKey(wanted)
+		writes = []bramleyfall.Write{{Key: a.key, Value: value, Lease: a.lease}}
 	}
-	if _, err := a.store.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{write}}); err != nil {
+	if _, err := a.store.Commit(ctx, bramleyfall.Txn{Writes: writes}); err != nil {
 		return err
 	}
 	a.written = wanted
@@ -143,6 +143,11 @@
 	return nil
 }
 
+// withdrawal removes an entry and says that it was removed on purpose.
+func withdrawal(key string) []bramleyfall.Write {
+	return []bramleyfall.Write{{Key: key, Delete: true}, {Key: withdrawnKey, Value: []byte(key)}}
+}
+
 func (a *Announcer) takeLease(ctx context.Context) error {
 	if a.lease != 0 {
 		return nil
--- a/directory/mark.go
+++ b/directory/mark.go
@@ -27,9 +27,10 @@
 	// would have ended soon without it, so that marks cost few calls; many at the
 	// same moment would cost each balancer one for each.
 	markWithin = rosterWait - markEvery
-	// marksNamed is the number of earlier marks that one names: more are older than
-	// a history of 20 s.
-	marksNamed = 2
+	// marksNamed is the number of earlier marks that one names: the oldest is at
+	// least marksNamed times markEvery back, longer than a store that turns some
+	// agents away keeps their entries from being written again.
+	marksNamed = 3
 )
 
 // mark is the value of the mark.
--- a/directory/members.go
+++ b/directory/members.go
@@ -17,6 +17,10 @@
 	// agentPrefix is where agents keep their entries, by service, address and
 	// instance.
 	agentPrefix = rosterPrefix + "agents/"
+	// withdrawnKey is where an agent writes the key of its entry as it removes it,
+	// since its upstream has ended. The history tells such an entry from one that
+	// has lapsed.
+	withdrawnKey = rosterPrefix + "withdrawn"
 )
 
 func agentKey(a *bramleyfall.Announcement) string {
@@ -47,6 +51,8 @@
 	Announce(a bramleyfall.Announcement)
 	// Unlist notes that an agent's entry is no longer in the store.
 	Unlist(instance bramleyfall.InstanceID)
+	// Withdraw notes that an agent removed its entry, since its upstream has ended.
+	Withdraw(instance bramleyfall.InstanceID)
 	// Listed notes that all entries were announced, by a list that was asked for
 	// at a time.
 	Listed(asOf time.Time)
@@ -154,8 +160,14 @@
 	if err != nil {
 		r.members.Incomplete(err)
 	}
+	withdrawn := make(map[string]bool)
 	for _, change := range changes {
-		if !change.Deleted || change.Key == markKey {
+		if change.Key == withdrawnKey {
+			withdrawn[string(change.Value)] = true
+		}
+	}
+	for _, change := range changes {
+		if !change.Deleted || change.Key == markKey || change.Key == withdrawnKey {
 			continue
 		}
 		a, err := parseKey(change.Key)
@@ -168,6 +180,9 @@
 		}
 		r.members.Announce(a)
 		r.members.Unlist(a.Instance)
+		if withdrawn[change.Key] {
+			r.members.Withdraw(a.Instance)
+		}
 	}
 }
 
@@ -262,13 +277,16 @@
 }
 
 func (r *Roster) change(pair bramleyfall.Pair) {
-	if pair.Key == markKey {
+	switch {
+	case pair.Key == markKey:
 		if err := r.marks.take(pair, r.clock.Now()); err != nil {
 			r.members.Malformed(err)
 		}
 		return
-	}
-	if pair.Deleted {
+	case pair.Key == withdrawnKey:
+		r.withdraw(pair)
+		return
+	case pair.Deleted:
 		delete(r.listed, pair.Key)
 		r.members.Unlist(instanceOf(pair.Key))
 		return
@@ -288,3 +306,12 @@
 	r.listed[pair.Key] = pair.ModRevision
 	r.members.Announce(a)
 }
+
+// withdraw takes the key of an entry that its agent removed, unless it was written
+// again since.
+func (r *Roster) withdraw(pair bramleyfall.Pair) {
+	key := string(pair.Value)
+	if r.listed[key] < pair.ModRevision {
+		r.members.Withdraw(instanceOf(key))
+	}
+}
--- a/directory/members_test.go
+++ b/directory/members_test.go
@@ -12,6 +12,9 @@
 	"bramleyfall.example/bramleyfall/directory"
 )
 
+// withdrawn is the key by which an agent says that it removed its entry.
+const withdrawn = "bramleyfall/withdrawn"
+
 // listedRevision is that of a listing.
 const listedRevision = 1000
 
@@ -56,7 +59,9 @@
 		if change.ModRevision <= int64(after) {
 			continue
 		}
-		change.Key = prefix + "agents/" + change.Key
+		if change.Key != withdrawn {
+			change.Key = prefix + "agents/" + change.Key
+		}
 		changes = append(changes, change)
 	}
 	return changes, 1, nil
@@ -67,6 +72,7 @@
 	announced  []bramleyfall.Announcement
 	malformed  []error
 	unlisted   []bramleyfall.InstanceID
+	withdrawn  []bramleyfall.InstanceID
 	incomplete []error
 	// listed is called after the list.
 	listed func()
@@ -78,6 +84,8 @@
 
 func (m *members) Incomplete(reason error) { m.incomplete = append(m.incomplete, reason) }
 
+func (m *members) Withdraw(id bramleyfall.InstanceID) { m.withdrawn = append(m.withdrawn, id) }
+
 func (m *members) Unlist(id bramleyfall.InstanceID) { m.unlisted = append(m.unlisted, id) }
 
 func (m *members) Malformed(err error) { m.malformed = append(m.malformed, err) }
@@ -132,6 +140,32 @@
 	}
 }
 
+// An entry that was removed on purpose is told from one that has lapsed.
+func TestWithdrawnEntries(t *testing.T) {
+	const key = "railbook/10.0.0.2:8000/agent-2"
+	removed := bramleyfall.Pair{Key: key, Deleted: true, ModRevision: listedRevision - 8}
+	tests := []struct {
+		name      string
+		history   []bramleyfall.Pair
+		withdrawn int
+	}{
+		{"lapsed", []bramleyfall.Pair{removed}, 0},
+		{"withdrawn", []bramleyfall.Pair{removed, {Key: withdrawn, Value: []byte("bramleyfall/agents/" + key), ModRevision: listedRevision - 8}}, 1},
+		{"another was withdrawn", []bramleyfall.Pair{removed, {Key: withdrawn, Value: []byte("bramleyfall/agents/other"), ModRevision: listedRevision - 8}}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			m := &members{listed: cancel}
+			l := &listing{key: "railbook/10.0.0.1:8000/agent-1", value: []byte(goodEntry), history: test.history}
+			directory.NewRoster(l, bramleyfall.SystemClock(), m, func(error) {}).Run(ctx)
+			if len(m.withdrawn) != test.withdrawn || len(m.unlisted) != 1 {
+				t.Errorf("withdrawn %v, unlisted %v", m.withdrawn, m.unlisted)
+			}
+		})
+	}
+}
+
 // Where the history doesn't reach back to the mark before the last one, entries
 // may have lapsed that nobody knows of any more.
 func TestIncompleteList(t *testing.T) {
@@ -200,7 +234,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &marked{listing: listing{key: "railbook/10.0.0.1:8000/agent-1", value: []byte(goodEntry), mark: `{"Previous":[800,900]}`}, end: cancel}
 	directory.NewRoster(m, m, &members{listed: func() {}}, func(error) {}).Run(ctx)
-	want := []string{`bramleyfall/mark {"Previous":[900,997]}`, `bramleyfall/mark {"Previous":[900,997]}`}
+	want := []string{`bramleyfall/mark {"Previous":[800,900,997]}`, `bramleyfall/mark {"Previous":[800,900,997]}`}
 	if !slices.Equal(m.writes, want) {
 		t.Errorf("%q", m.writes)
 	}
--- a/placement/lookup.go
+++ b/placement/lookup.go
@@ -32,8 +32,9 @@
 	began time.Time
 	stage stage
 	at    time.Time
-	// asked holds the agents whose answer decides.
-	asked []*upstream
+	// asked holds the agents whose answer decides, in the order in which they were
+	// asked.
+	asked []question
 	// denied holds those that don't hold the flow.
 	denied []bramleyfall.Endpoint
 	// held are the packets that wait. Unsure are the agents that can't tell whether
@@ -44,6 +45,22 @@
 	heldData bool
 }
 
+// question is one that an agent was asked.
+type question struct {
+	to *upstream
+	at time.Time
+}
+
+// asks reports whether an agent was asked.
+func (s *search) asks(u *upstream) bool {
+	return slices.ContainsFunc(s.asked, func(q question) bool { return q.to == u })
+}
+
+// answered reports whether an agent has said what it knows of the flow.
+func (s *search) answered(u *upstream) bool {
+	return slices.Contains(s.denied, u.Packets) || slices.Contains(s.unsure, u)
+}
+
 // hold keeps a packet. The first is the one that is offered: one with data, if
 // there is any by then, since an upstream answers those.
 func (s *search) hold(packet *bramleyfall.Packet) {
@@ -122,13 +139,7 @@
 		s.stage, s.at = to, now
 		p.askStage(flow, s, to, now)
 	}
-	if len(p.targets) == first {
-		return
-	}
-	p.decide(Decision{
-		Kind: bramleyfall.ActionPass, Code: bramleyfall.NoOwner, Flow: flow,
-		Targets: p.targets[first:], Lookup: true, Ack: f.ack,
-	})
+	p.ask(flow, f, p.targets[first:])
 }
 
 func (p *Placer) askStage(flow bramleyfall.Flow, s *search, to stage, now time.Time) {
@@ -155,15 +166,42 @@
 // askEach asks those agents of a failure domain, or of all, that weren't asked.
 func (p *Placer) askEach(s *search, upstreams []*upstream, domain bramleyfall.DomainName, now time.Time) {
 	for _, u := range upstreams {
-		if domain != "" && u.Domain != domain || slices.Contains(s.asked, u) || slices.Contains(s.denied, u.Packets) {
+		if domain != "" && u.Domain != domain || s.asks(u) || slices.Contains(s.denied, u.Packets) {
 			continue
 		}
 		u.sent(now)
-		s.asked = append(s.asked, u)
+		s.asked = append(s.asked, question{u, now})
 		p.targets = append(p.targets, u.target())
 	}
 }
 
+// askAgain asks those agents once more that were heard for the first time since
+// they were asked.
+func (p *Placer) askAgain(flow bramleyfall.Flow, f *placed, now time.Time) {
+	s := &f.search
+	first := len(p.targets)
+	for i := range s.asked {
+		q := &s.asked[i]
+		if !q.to.heardAt.After(q.at) || s.answered(q.to) {
+			continue
+		}
+		q.at = now
+		q.to.sent(now)
+		p.targets = append(p.targets, q.to.target())
+	}
+	p.ask(flow, f, p.targets[first:])
+}
+
+// ask asks agents whether they hold a flow.
+func (p *Placer) ask(flow bramleyfall.Flow, f *placed, targets []Target) {
+	if len(targets) == 0 {
+		return
+	}
+	p.decide(Decision{
+		Kind: bramleyfall.ActionPass, Code: bramleyfall.NoOwner, Flow: flow, Targets: targets, Lookup: true, Ack: f.ack,
+	})
+}
+
 // Owned notes that an agent's upstream holds a flow, and sends it the packets
 // that waited.
 func (p *Placer) Owned(flow bramleyfall.Flow, from bramleyfall.Endpoint, now time.Time) []Decision {
@@ -294,8 +332,8 @@
 const ownDomainWithin = 15 * time.Millisecond
 
 func (p *Placer) deniedByAll(s *search) bool {
-	for _, u := range s.asked {
-		if !slices.Contains(s.denied, u.Packets) {
+	for _, q := range s.asked {
+		if !slices.Contains(s.denied, q.to.Packets) {
 			return false
 		}
 	}
@@ -311,25 +349,32 @@
 	}
 	route := p.snapshot.Routes[flow.Destination]
 	repeated := route == nil || route.Idempotent
-	for _, u := range f.search.asked {
-		after := p.config.LostAfter
-		if repeated && u.loadAt.IsZero() {
-			after = p.config.GoneAfter
-		}
-		if !slices.Contains(f.search.denied, u.Packets) && !u.silent(after, now) {
+	for _, q := range f.search.asked {
+		if !slices.Contains(f.search.denied, q.to.Packets) && !q.to.silent(p.lostAfter(q.to, repeated), now) {
 			return false
 		}
 	}
 	return true
 }
 
+// lostAfter is the time without a message after which an agent's flows are given up.
+func (p *Placer) lostAfter(u *upstream, repeated bool) time.Duration {
+	switch {
+	case u.withdrawn:
+		return p.config.OpeningWithin // it answers at once, if it is there at all
+	case repeated && u.heardAt.IsZero():
+		return p.config.GoneAfter
+	}
+	return p.config.LostAfter
+}
+
 // endSearch ends a search that waited too long, and names an agent that didn't
 // answer. The packets are discarded: their caller repeats them.
 func (p *Placer) endSearch(flow bramleyfall.Flow, f *placed, now time.Time) {
 	d := Decision{Kind: bramleyfall.ActionDrop, Code: bramleyfall.StaleInstance, Flow: flow}
-	for _, u := range f.search.asked {
-		if !slices.Contains(f.search.denied, u.Packets) {
-			d.Instance, d.Load, d.LoadAge = u.Instance, u.load, now.Sub(u.loadAt)
+	for _, q := range f.search.asked {
+		if !slices.Contains(f.search.denied, q.to.Packets) {
+			d.Instance, d.Load, d.LoadAge = q.to.Instance, q.to.load, now.Sub(q.to.loadAt)
 		}
 	}
 	f.search = search{}
@@ -345,6 +390,7 @@
 		if f == nil || f.search.stage == stageNone {
 			continue
 		}
+		p.askAgain(l.flow, f, now)
 		p.offerMore(l.flow, f, now)
 		p.conclude(l.flow, f, now)
 		if now.Sub(l.at) < lookupFor {
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -33,8 +33,9 @@
 	// its upstream works on. GoneAfter is that for other flows at an agent that was
 	// never heard.
 	LostAfter, GoneAfter time.Duration
-	// ProbeEvery is the time between two probes of a silent agent.
-	ProbeEvery time.Duration
+	// ProbeEvery is the time between two probes of a silent agent, FirstProbeEvery
+	// that of one that was never heard, for GoneAfter.
+	ProbeEvery, FirstProbeEvery time.Duration
 	// UnlistedFor is how long an agent whose entry was removed from the store is
 	// kept while it still answers: its lease may have lapsed in an outage.
 	UnlistedFor time.Duration
@@ -63,21 +64,23 @@
 // DefaultConfig returns the settings used where options set no others.
 func DefaultConfig() Config {
 	return Config{
-		RemoteCost:     0.25,
-		ColdCost:       0.5,
-		OpeningWithin:  45 * time.Millisecond,
-		SilentAfter:    250 * time.Millisecond,
-		LostAfter:      1200 * time.Millisecond,
-		GoneAfter:      350 * time.Millisecond,
-		ProbeEvery:     200 * time.Millisecond,
-		UnlistedFor:    20 * time.Second,
-		FreshFor:       time.Second,
-		ListWithin:     1200 * time.Millisecond,
-		RelistWithin:   2750 * time.Millisecond,
-		ListEvery:      500 * time.Millisecond,
-		MaxAsked:       256,
-		OwnDomainFirst: true,
-		MaxTries:       5,
+		RemoteCost:    0.25,
+		ColdCost:      0.5,
+		OpeningWithin: 45 * time.Millisecond,
+		SilentAfter:   250 * time.Millisecond,
+		LostAfter:     1200 * time.Millisecond,
+		GoneAfter:     350 * time.Millisecond,
+		ProbeEvery:    200 * time.Millisecond,
+
+		FirstProbeEvery: 40 * time.Millisecond,
+		UnlistedFor:     20 * time.Second,
+		FreshFor:        time.Second,
+		ListWithin:      1200 * time.Millisecond,
+		RelistWithin:    2750 * time.Millisecond,
+		ListEvery:       500 * time.Millisecond,
+		MaxAsked:        256,
+		OwnDomainFirst:  true,
+		MaxTries:        5,
 	}
 }
 
--- a/placement/placer_test.go
+++ b/placement/placer_test.go
@@ -372,6 +372,70 @@
 	}
 }
 
+// After a start of all, questions are lost that reach an agent before it has
+// started. It is asked once more as soon as it is heard.
+func TestAgentThatHasJustStartedIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.report(0, ready(0, 0))
+	w.FromCaller(data(), w.now)
+	is.Equal(resets(w.NotOwned(flowOf(1), agent(0), w.now)), 0)
+	w.now = w.now.Add(100 * time.Millisecond)
+	is.Equal(lookups(w.Tick(w.now), agent(1)), 0)
+	w.report(1, ready(0, 0))
+	w.now = w.now.Add(20 * time.Millisecond)
+	is.Equal(lookups(w.Tick(w.now), agent(1)), 1)
+	w.now = w.now.Add(20 * time.Millisecond)
+	is.Equal(lookups(w.Tick(w.now), agent(1)), 0)
+	is.Equal(resets(w.NotOwned(flowOf(1), agent(1), w.now)), 1)
+}
+
+// lookups counts the questions to an agent.
+func lookups(decisions []placement.Decision, to bramleyfall.Endpoint) int {
+	n := 0
+	for _, d := range decisions {
+		for _, target := range d.Targets {
+			if d.Lookup && target.Address == to {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// An agent whose upstream has ended removes its entry and says so. A flow that all
+// others deny doesn't wait for it, unless it answers.
+func TestWithdrawnAgentIsNotWaitedFor(t *testing.T) {
+	tests := []struct {
+		name      string
+		withdrawn bool
+		after     time.Duration
+		resets    int
+	}{
+		{"it has withdrawn", true, 80 * time.Millisecond, 1},
+		{"it has withdrawn, and may answer yet", true, 20 * time.Millisecond, 0},
+		{"its entry has lapsed", false, 80 * time.Millisecond, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(2)
+			w.report(0, ready(0, 0))
+			w.Unlist("agent-1", w.now)
+			if test.withdrawn {
+				w.Withdraw("agent-1")
+			}
+			w.FromCaller(data(), w.now)
+			count := resets(w.NotOwned(flowOf(1), agent(0), w.now))
+			for elapsed := time.Duration(0); elapsed < test.after; elapsed += 20 * time.Millisecond {
+				w.now = w.now.Add(20 * time.Millisecond)
+				count += resets(w.Tick(w.now))
+			}
+			is.Equal(count, test.resets)
+		})
+	}
+}
+
 // An agent answers for an opening only after another was offered it too. Its
 // caller goes on, which shows that the opening was answered: to refuse it then
 // would break an open flow.
--- a/placement/upstream.go
+++ b/placement/upstream.go
@@ -22,7 +22,13 @@
 	sentSince time.Time
 	// unlistedAt is when its entry vanished from the store, or zero.
 	unlistedAt time.Time
-	lastProbe  time.Time
+	// withdrawn is set when the agent removed its entry, since its upstream has
+	// ended.
+	withdrawn bool
+	lastProbe time.Time
+	// heardAt is when the agent was heard first: what it was sent before may have
+	// been lost, since it had not started yet.
+	heardAt time.Time
 	// foreign is set when the agent says that it serves another service.
 	foreign bool
 }
@@ -97,7 +103,7 @@
 func (p *Placer) Announce(a bramleyfall.Announcement) {
 	u := p.upstreams[a.Packets]
 	if u != nil && u.Announcement == a {
-		u.unlistedAt = time.Time{}
+		u.unlistedAt, u.withdrawn = time.Time{}, false
 		return
 	}
 	if u != nil {
@@ -107,7 +113,7 @@
 	if u != nil && u.Service == a.Service && u.Instance == a.Instance {
 		// The same agent announces another run of its upstream.
 		*next = *u
-		next.Announcement, next.unlistedAt, next.foreign = a, time.Time{}, false
+		next.Announcement, next.unlistedAt, next.withdrawn, next.foreign = a, time.Time{}, false, false
 		for _, f := range p.flows {
 			if f.owner == u {
 				f.owner = next
@@ -128,6 +134,13 @@
 	}
 }
 
+// Withdraw notes that an agent removed its entry, since its upstream has ended.
+func (p *Placer) Withdraw(instance bramleyfall.InstanceID) {
+	for _, u := range p.upstreams {
+		u.withdrawn = u.withdrawn || u.Instance == instance
+	}
+}
+
 // drop forgets an upstream.
 func (p *Placer) drop(u *upstream) {
 	delete(p.upstreams, u.Packets)
@@ -143,6 +156,9 @@
 	}
 	news := u.load.State != load.State
 	u.foreign = service != u.Service.Key()
+	if u.heardAt.IsZero() {
+		u.heardAt = now
+	}
 	u.load, u.loadAt, u.placed = load, now, 0
 	u.sentSince = time.Time{}
 	return news
@@ -163,8 +179,9 @@
 func (p *Placer) Probes(now time.Time) []Target {
 	p.begin()
 	for _, u := range p.upstreams {
-		due := u.silent(p.config.ProbeEvery, now) || !u.unlistedAt.IsZero()
-		if due && now.Sub(u.lastProbe) >= p.config.ProbeEvery {
+		due := u.silent(p.config.ProbeEvery, now) || !u.unlistedAt.IsZero() || u.heardAt.IsZero()
+		if due && now.Sub(u.lastProbe) >= p.probeEvery(u, now) {
+			u.sent(now)
 			u.lastProbe = now
 			p.targets = append(p.targets, u.target())
 		}
@@ -172,6 +189,15 @@
 	return p.targets
 }
 
+// probeEvery returns the time between two probes of an agent. One that was never
+// heard may start at any moment.
+func (p *Placer) probeEvery(u *upstream, now time.Time) time.Duration {
+	if u.heardAt.IsZero() && !u.silent(p.config.GoneAfter, now) {
+		return p.config.FirstProbeEvery
+	}
+	return p.config.ProbeEvery
+}
+
 // Isolated reports whether no agent answers, so that the balancer is better left
 // out. One that knows no agent serves nobody but isn't cut off.
 func (p *Placer) Isolated(now time.Time) bool {
