--- a/measure/day.go
+++ b/measure/day.go
@@ -163,8 +163,8 @@
 	return p
 }
 
-// plant returns what the direct mode is made of.
-func (p *dayPlay) plant(o policy) *plant {
+// setup returns what the direct mode is made of.
+func (p *dayPlay) setup(o policy) *setup {
 	s := &bramleyfall.Snapshot{
 		Version: 1, Routes: make(map[bramleyfall.Endpoint]*bramleyfall.Route), IdleTimeout: 15 * time.Second,
 		Services: make(map[bramleyfall.ServiceName]bramleyfall.ServiceLimits), Out: make(map[bramleyfall.DomainName]bool),
@@ -184,7 +184,7 @@
 	if p.day.Out != "" {
 		s.Out[p.day.Out] = true
 	}
-	l := &plant{
+	l := &setup{
 		snapshot: s, beatEvery: beatEvery, placement: o.placement, admission: o.admission,
 		delay: p.tunnelDelay, lost: p.lost,
 	}
--- a/measure/plant.go
+++ b/measure/direct.go
@@ -29,8 +29,8 @@
 	slots   int
 }
 
-// plant is what a direct mode is made of.
-type plant struct {
+// setup is what a direct mode is made of.
+type setup struct {
 	// balancers holds the failure domain of each balancer.
 	balancers []bramleyfall.DomainName
 	agents    []agentSpec
@@ -62,7 +62,7 @@
 type direct struct {
 	*virtual.Queue
 	ends
-	plant
+	setup
 	random  *rand.Rand
 	placers []*placement.Placer
 	gates   []*admission.Gate
@@ -73,11 +73,11 @@
 }
 
 // newDirect returns a direct mode whose processes all run and know each other.
-func newDirect(q *virtual.Queue, e ends, p *plant, random *rand.Rand) *direct {
+func newDirect(q *virtual.Queue, e ends, s *setup, random *rand.Rand) *direct {
 	d := &direct{
-		Queue: q, ends: e, plant: *p, random: random,
-		placers: make([]*placement.Placer, len(p.balancers)), gates: make([]*admission.Gate, len(p.agents)),
-		entries: make([]*bramleyfall.Announcement, len(p.agents)), claims: make(map[bramleyfall.Flow]int),
+		Queue: q, ends: e, setup: *s, random: random,
+		placers: make([]*placement.Placer, len(s.balancers)), gates: make([]*admission.Gate, len(s.agents)),
+		entries: make([]*bramleyfall.Announcement, len(s.agents)), claims: make(map[bramleyfall.Flow]int),
 	}
 	for n := range d.agents {
 		h, _ := d.heartbeat(n)
@@ -291,3 +291,17 @@
 	}
 	d.toCaller(p)
 }
+
+// directDay is the direct mode on a day.
+type directDay struct{ *direct }
+
+func newDirectDay(p *dayPlay, o policy) dayWay {
+	return directDay{newDirect(p.Queue, p, p.setup(o), p.random)}
+}
+
+// fall implements dayWay.
+func (d directDay) fall() {
+	clear(d.placers)
+	clear(d.gates)
+	clear(d.claims)
+}
--- a/measure/load_ways.go
+++ b/measure/load_ways.go
@@ -55,7 +55,7 @@
 			Priority: bramleyfall.Priority(2 - priority), Idempotent: !orders,
 		}
 	}
-	l := &plant{snapshot: s, beatEvery: time.Second, delay: loadDelay, lost: func() bool { return false }}
+	l := &setup{snapshot: s, beatEvery: time.Second, delay: loadDelay, lost: func() bool { return false }}
 	for n := range loadBalancers {
 		l.balancers = append(l.balancers, loadDomain(n))
 	}
--- a/measure/policies.go
+++ b/measure/policies.go
@@ -13,20 +13,6 @@
 	admission []admission.Option
 }
 
-// directDay is the direct mode on a day.
-type directDay struct{ *direct }
-
-func newDirectDay(p *dayPlay, o policy) dayWay {
-	return directDay{newDirect(p.Queue, p, p.plant(o), p.random)}
-}
-
-// fall implements dayWay.
-func (d directDay) fall() {
-	clear(d.placers)
-	clear(d.gates)
-	clear(d.claims)
-}
-
 func placing(o placement.Option) policy { return policy{placement: []placement.Option{o}} }
 
 func admitting(o admission.Option) policy { return policy{admission: []admission.Option{o}} }
