--- a/directory/mark.go
+++ b/directory/mark.go
@@ -27,9 +27,9 @@
 	// would have ended soon without it, so that marks cost few calls; many at the
 	// same moment would cost each balancer one for each.
 	markWithin = rosterWait - markEvery
-	// marksNamed is the number of earlier marks that one names: the oldest is at
-	// least marksNamed times markEvery back, longer than a store that turns some
-	// agents away keeps their entries from being written again.
+	// marksNamed is the number of earlier marks that one names. The oldest is at least
+	// marksNamed times markEvery back: entries that lapsed since are known, also where
+	// the store has turned their agents away for some seconds.
 	marksNamed = 3
 )
 
--- a/placement/placer.go
+++ b/placement/placer.go
@@ -64,14 +64,13 @@
 // DefaultConfig returns the settings used where options set no others.
 func DefaultConfig() Config {
 	return Config{
-		RemoteCost:    0.25,
-		ColdCost:      0.5,
-		OpeningWithin: 45 * time.Millisecond,
-		SilentAfter:   250 * time.Millisecond,
-		LostAfter:     1200 * time.Millisecond,
-		GoneAfter:     350 * time.Millisecond,
-		ProbeEvery:    200 * time.Millisecond,
-
+		RemoteCost:      0.25,
+		ColdCost:        0.5,
+		OpeningWithin:   45 * time.Millisecond,
+		SilentAfter:     250 * time.Millisecond,
+		LostAfter:       1200 * time.Millisecond,
+		GoneAfter:       350 * time.Millisecond,
+		ProbeEvery:      200 * time.Millisecond,
 		FirstProbeEvery: 40 * time.Millisecond,
 		UnlistedFor:     20 * time.Second,
 		FreshFor:        time.Second,
