Count an upstream as gone the moment its connection ends

Cause: after a kill the agent learned of the next run by a look at its health. Where that look is late, the next run answers the retransmissions of the five flows under way with resets, which frees their slots, and the agent, which still takes the upstream for a warm one, fills them again. Ruled out: the warm-up's limit (one order below 2 s, the stand-in bears two). TestUpstreamIsGoneWhenItsConnectionEnds failed before. The stand-in prints each cold failure with the age of the run.

--- a/agent/health.go
+++ b/agent/health.go
@@ -70,8 +70,9 @@
 	return &http.Client{Timeout: healthTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 }
 
-// runAttached holds an idle connection to the health endpoint. Its end shows at
-// once that the upstream's process may have stopped.
+// runAttached holds an idle connection to the health endpoint. At its end the
+// upstream counts as gone until a look at its health answers: the next run may be
+// there, and cold, before the look is.
 func (s *server) runAttached(ctx context.Context) {
 	target, err := url.Parse(s.config.Health)
 	if err != nil {
@@ -85,6 +86,7 @@
 			_, _ = conn.Read(make([]byte, 1))
 			stop()
 			_ = conn.Close()
+			s.tasks.Offer(s.decider.upstreamDead)
 			select {
 			case s.detached <- struct{}{}:
 			default:
--- a/agent/health_test.go
+++ b/agent/health_test.go
@@ -10,6 +10,10 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/caller"
+	"bramleyfall.example/bramleyfall/ring"
 )
 
 // twice is an upstream that begins to drain after the first look at its health. On
@@ -64,3 +68,34 @@
 	is.NoErr(err)
 	is.True(h.Draining)
 }
+
+// A connection to the health endpoint that ended stops openings before a look at
+// the health has answered: what answers may be the next run of the upstream.
+func TestUpstreamIsGoneWhenItsConnectionEnds(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			_ = conn.Close()
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	gate, err := caller.NewFlowGate(time.Now(), caller.WithUpstream(1), caller.WithCapacity(1, 1))
+	is.NoErr(err)
+	gate.UpstreamStarted(1, time.Now(), time.Now())
+	s := &server{
+		config: Config{Health: "http://" + listener.Addr().String()}, clock: bramleyfall.SystemClock(),
+		tasks: ring.New[func()](1), detached: make(chan struct{}, 1),
+	}
+	s.decider = &decider{server: s, gate: s.recorded(gate, time.Now())}
+	go s.runAttached(ctx)
+	select {
+	case task := <-s.tasks.Items():
+		task()
+	case <-ctx.Done():
+	}
+	is.Equal(gate.State(), caller.UpstreamAbsent)
+}
--- a/standin/upstreams/upstream.go
+++ b/standin/upstreams/upstream.go
@@ -182,6 +182,8 @@
 	if usable < u.config.Slots && u.running > 2*usable {
 		u.running--
 		u.counts.ColdFailures++
+		fmt.Printf("ColdFailure Time=%s Age=%s Running=%d Usable=%d\n",
+			time.Now().UTC().Format(time.RFC3339Nano), time.Since(u.boot), u.running, usable)
 		return "FAILED"
 	}
 	if u.running > queuePerSlot*u.config.Slots {
