Hear of few changed entries by few calls, and look instead of listing

Change: the pause after changes grows with the share of entries that they leave out (0.25 to 1.5 s; 0.25 s in a roster's first 5 s); a look is one call that waits for nothing, beside the watch that waits; an answered watch shows as of when all entries are known; after a failure the roster goes on from its revision. Ruled out: a longer wait of the agents' watch of the configuration (measured together with this, then taken out: an evacuation isn't shown by messages).

--- a/directory/follow.go
+++ b/directory/follow.go
@@ -43,15 +43,17 @@
 // sleep waits for d, or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) { sleepUntil(ctx, d, nil) }
 
-// sleepUntil waits for d, or until ctx ends or wake has something.
-func sleepUntil(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+// sleepUntil waits for d, or until ctx ends or wake has something, which it reports.
+func sleepUntil(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
-	case <-ctx.Done():
 	case <-wake:
+		return true
+	case <-ctx.Done():
 	case <-timer.C:
 	}
+	return false
 }
 
 // Dependency tells whether the store answers.
--- a/directory/members.go
+++ b/directory/members.go
@@ -53,8 +53,7 @@
 	Unlist(instance bramleyfall.InstanceID)
 	// Withdraw notes that an agent removed its entry, since its upstream has ended.
 	Withdraw(instance bramleyfall.InstanceID)
-	// Listed notes that all entries were announced, by a list that was asked for
-	// at a time.
+	// Listed notes that all entries that the store had at a time were announced.
 	Listed(asOf time.Time)
 	// Incomplete notes that the first list may lack agents whose entries lapsed a
 	// moment before, and why that can't be ruled out.
@@ -72,9 +71,12 @@
 	// listed holds the revisions of the entries that members know.
 	listed map[string]int64
 	marks  marks
-	// begun is set after the first list.
-	begun bool
-	// refresh holds a request for a list.
+	// revision is that up to which the entries are known, or zero.
+	revision bramleyfall.Revision
+	// since is when the first list was asked for, and asOf when the last call was
+	// that shows all entries, or zero.
+	since, asOf time.Time
+	// refresh holds a request for a look.
 	refresh chan struct{}
 }
 
@@ -87,7 +89,7 @@
 	}
 }
 
-// Refresh has the entries listed again.
+// Refresh has the store asked at once for what has changed: a watch may be deaf.
 func (r *Roster) Refresh() {
 	select {
 	case r.refresh <- struct{}{}:
@@ -95,7 +97,8 @@
 	}
 }
 
-// Run follows the entries until ctx ends.
+// Run follows the entries until ctx ends. After a call that failed it goes on from
+// the revision that it knows, unless the store has dropped the changes since.
 func (r *Roster) Run(ctx context.Context) {
 	retry := newRetry()
 	for ctx.Err() == nil {
@@ -103,7 +106,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, bramleyfall.ErrHistoryLost) || errors.Is(err, errStale) {
+		if errors.Is(err, bramleyfall.ErrHistoryLost) {
+			r.revision = 0
 			continue
 		}
 		r.health(err)
@@ -112,38 +116,152 @@
 }
 
 func (r *Roster) follow(ctx context.Context, succeeded func()) error {
+	known := r.revision != 0
+	if !known {
+		if err := r.list(ctx); err != nil {
+			return err
+		}
+		r.health(nil)
+		succeeded()
+	}
+	return r.watch(ctx, known, succeeded)
+}
+
+// list reads all entries.
+func (r *Roster) list(ctx context.Context) error {
 	asOf := r.clock.Now()
 	pairs, revision, err := r.store.List(ctx, rosterPrefix)
 	if err != nil {
 		return err
 	}
-	if !r.begun {
+	first := r.since.IsZero()
+	if first {
+		r.since = asOf
 		r.marks.seen(asOf)
 	}
 	r.replace(pairs)
-	if !r.begun {
+	if first {
 		r.announceRemoved(ctx, revision)
-		r.begun = true
 	}
+	r.revision, r.asOf = revision, asOf
 	r.members.Listed(asOf)
-	for {
+	return nil
+}
+
+// watch takes the changes after the known revision until a call fails. It begins
+// with a look, if one is asked for. A look leaves the watch that waits as it is.
+func (r *Roster) watch(ctx context.Context, look bool, succeeded func()) error {
+	ctx, cancel := context.WithCancel(ctx)
+	var waiting <-chan answer
+	defer func() {
+		cancel()
+		if waiting != nil {
+			<-waiting
+		}
+	}()
+	for ctx.Err() == nil {
+		var a answer
+		switch {
+		case look:
+			a = r.await(ctx, r.revision, 0)
+		case waiting == nil:
+			waiting = r.startWatch(ctx)
+			continue
+		default:
+			select {
+			case a = <-waiting:
+				waiting = nil
+			case <-r.refresh:
+				look = true
+				continue
+			}
+		}
+		if a.err != nil {
+			return a.err
+		}
 		r.health(nil)
 		succeeded()
-		changes, next, err := r.await(ctx, revision)
-		if err != nil {
-			return err
-		}
+		changes := r.take(&a)
 		if err := r.writeMark(ctx); err != nil {
 			return err
 		}
-		for _, change := range changes {
+		look = r.settle(ctx, changes)
+	}
+	return ctx.Err()
+}
+
+// answer is what a call for changes brought.
+type answer struct {
+	asOf     time.Time
+	changes  []bramleyfall.Pair
+	revision bramleyfall.Revision
+	err      error
+}
+
+// startWatch calls for changes and returns where the answer comes.
+func (r *Roster) startWatch(ctx context.Context) <-chan answer {
+	answers := make(chan answer, 1)
+	wait := max(0, min(rosterWait, r.marks.due(r.clock.Now())))
+	after := r.revision
+	go func() { answers <- r.await(ctx, after, wait) }()
+	return answers
+}
+
+// await calls for the changes after a revision.
+func (r *Roster) await(ctx context.Context, after bramleyfall.Revision, wait time.Duration) answer {
+	a := answer{asOf: r.clock.Now()}
+	a.changes, a.revision, a.err = r.store.Await(ctx, rosterPrefix, after, wait)
+	return a
+}
+
+// take takes the changes that are new, and returns their number. A watch brings
+// again what a look has brought.
+func (r *Roster) take(a *answer) int {
+	count := 0
+	for _, change := range a.changes {
+		if change.ModRevision > int64(r.revision) {
+			count++
 			r.change(change)
 		}
-		revision = next
-		if len(changes) > 0 {
-			sleep(ctx, settleFor)
-		}
 	}
+	r.revision = max(r.revision, a.revision)
+	if a.asOf.After(r.asOf) {
+		r.asOf = a.asOf
+		r.members.Listed(r.asOf)
+	}
+	return count
+}
+
+const (
+	// settleShare is the share of the entries whose changes are to be known within
+	// settleFor. Those of fewer may come later, by one call for several.
+	settleShare = 0.125
+	// settleMost is the longest pause after changes: with a call of the store within
+	// the two seconds in which entries that are back are to be known.
+	settleMost = 1500 * time.Millisecond
+	// settleFrom is the age of a roster from which its pauses may be longer than
+	// settleFor: agents whose entries have lapsed unseen are back before.
+	settleFrom = 5 * time.Second
+)
+
+// settle pauses after a watch that brought changes, so that the next ones come by
+// one call. It reports whether somebody asked for a look meanwhile.
+func (r *Roster) settle(ctx context.Context, changes int) bool {
+	if changes == 0 {
+		return false
+	}
+	pause := settleFor
+	if r.clock.Now().Sub(r.since) >= settleFrom {
+		pause = settleTime(changes, len(r.listed))
+	}
+	return sleepUntil(ctx, pause, r.refresh)
+}
+
+// settleTime returns the pause after some changes of all the entries: the fewer
+// upstreams they concern, the less is lost by hearing of the next ones later.
+func settleTime(changes, entries int) time.Duration {
+	pause := time.Duration(settleShare * float64(entries) / float64(changes) * float64(settleFor))
+	return min(settleMost, max(settleFor, pause))
 }
 
 // recentChanges is the number of changes of the store that count as recent: as
@@ -235,33 +353,6 @@
 	return known, nil
 }
 
-// await waits for changes, or until a list is asked for.
-func (r *Roster) await(ctx context.Context, after bramleyfall.Revision) ([]bramleyfall.Pair, bramleyfall.Revision, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	done, stopped := make(chan struct{}), make(chan struct{})
-	defer func() {
-		close(done)
-		<-stopped
-	}()
-	go r.loopRefresh(done, stopped, cancel)
-	wait := max(0, min(rosterWait, r.marks.due(r.clock.Now())))
-	changes, next, err := r.store.Await(ctx, rosterPrefix, after, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errStale) {
-		return nil, 0, errStale
-	}
-	return changes, next, err
-}
-
-func (r *Roster) loopRefresh(done <-chan struct{}, stopped chan<- struct{}, cancel context.CancelCauseFunc) {
-	defer close(stopped)
-	select {
-	case <-done:
-	case <-r.refresh:
-		cancel(errStale)
-	}
-}
-
 // replace takes a full list.
 func (r *Roster) replace(pairs []bramleyfall.Pair) {
 	present := make(map[string]bool, len(pairs))
