Show in each message the last change of the configuration that is known

Cause: messages carried the version alone, and an evacuation changes none. An agent whose watch had gone deaf learned of one after the wait of its watch, 10 s and more, where the bound is 5 s; a process that the store turned away never learned of it from its peers. Change: messages carry the store's revision of the last change known (8 bytes more); who doesn't know the store up to there reads again, after the 200 ms in which its watch may bring the change: the read and the watch given up were two calls for nothing. A removal that a full read can't date counts from that read. Agents, which hear of everything by messages, wait 30 s in a watch instead of 10. Ruled out: probing idle agents for it; one that gets no packets delivers none. Tests: TestDeafWatchesOfAnEvacuation, TestFollowerReadsAgainWhatAPeerKnows, TestFollowerGivesItsWatchAMoment, TestFollowerDatesARemoval.

--- a/direct/agent.go
+++ b/direct/agent.go
@@ -70,17 +70,18 @@
 	counts    agentCounts
 
 	// mu guards what follows: the decisions and the buffers for their messages.
-	mu          sync.Mutex
-	gate        *admission.Gate
-	packet      bramleyfall.Packet
-	buffer      []byte
-	balancers   []balancer
-	numbers     map[bramleyfall.Endpoint]uint32
-	claims      map[bramleyfall.Flow]uint32
-	state       bramleyfall.UpstreamState
-	entry       *bramleyfall.Announcement
-	nextRefresh time.Time
-	nextCheck   time.Time
+	mu        sync.Mutex
+	gate      *admission.Gate
+	packet    bramleyfall.Packet
+	buffer    []byte
+	balancers []balancer
+	numbers   map[bramleyfall.Endpoint]uint32
+	claims    map[bramleyfall.Flow]uint32
+	state     bramleyfall.UpstreamState
+	entry     *bramleyfall.Announcement
+	nextCheck time.Time
+	// changed is the revision of the last change of the configuration.
+	changed bramleyfall.Revision
 }
 
 // balancer is a balancer that sent something.
@@ -231,10 +232,7 @@
 	}
 	number := a.number(toEndpoint(sender))
 	a.balancers[number].due = true
-	if m.Version > a.gate.Version() && !now.Before(a.nextRefresh) {
-		a.nextRefresh = now.Add(refreshEvery)
-		a.follower.Behind(a.balancers[number].address)
-	}
+	a.follower.Heard(a.balancers[number].address, m.Changed)
 	switch m.Kind {
 	case tunnel.Probe:
 		if m.Unlisted && !now.Before(a.nextCheck) {
@@ -314,7 +312,7 @@
 	b := &a.balancers[number]
 	b.due = false
 	m.Service = a.config.Service.Key()
-	m.Version = a.gate.Version()
+	m.Version, m.Changed = a.gate.Version(), a.changed
 	m.Load = a.gate.Load(a.clock.Now())
 	_, m.Boot = a.gate.Upstream()
 	a.buffer = tunnel.Append(a.buffer[:0], m)
@@ -358,6 +356,7 @@
 	a.peers.current.Store(s)
 	a.mu.Lock()
 	a.gate.Configure(s, a.clock.Now())
+	a.changed = s.Changed
 	a.mu.Unlock()
 	logConfigured(a.telemetry, s)
 }
--- a/direct/balancer.go
+++ b/direct/balancer.go
@@ -63,12 +63,13 @@
 	counts    balancerCounts
 
 	// mu guards what follows: the decisions and the buffers for their messages.
-	mu          sync.Mutex
-	placer      *placement.Placer
-	packet      bramleyfall.Packet
-	message     tunnel.Message
-	buffer      []byte
-	nextRefresh time.Time
+	mu      sync.Mutex
+	placer  *placement.Placer
+	packet  bramleyfall.Packet
+	message tunnel.Message
+	buffer  []byte
+	// changed is the revision of the last change of the configuration.
+	changed bramleyfall.Revision
 	// lastPacket is when the last packet of a caller came.
 	lastPacket time.Time
 }
@@ -233,10 +234,7 @@
 		b.telemetry.Log.Info().Str("Event", "UpstreamState").Str("Agent", string(b.placer.Instance(from))).
 			Str("State", string(m.Load.State)).Uint16("Busy", m.Load.Busy).Uint16("Slots", m.Load.Slots).Msg("")
 	}
-	if m.Version > b.placer.Version() && !now.Before(b.nextRefresh) {
-		b.nextRefresh = now.Add(refreshEvery)
-		b.follower.Behind(from)
-	}
+	b.follower.Heard(from, m.Changed)
 	switch m.Kind {
 	case tunnel.Return:
 		b.returned(&m, from, now)
@@ -271,7 +269,9 @@
 		b.roster.Refresh()
 	}
 	for _, target := range b.placer.Probes(now) {
-		b.send(&tunnel.Message{Kind: tunnel.Probe, Service: target.Service, Version: b.placer.Version(), Unlisted: target.Unlisted}, target.Address)
+		b.send(&tunnel.Message{
+			Kind: tunnel.Probe, Service: target.Service, Version: b.placer.Version(), Changed: b.changed, Unlisted: target.Unlisted,
+		}, target.Address)
 	}
 }
 
@@ -280,8 +280,8 @@
 	switch d.Kind {
 	case bramleyfall.ActionPass:
 		b.message = tunnel.Message{
-			Kind: kindOf(d), Must: d.Must, Version: b.placer.Version(), Priority: d.Priority, Objective: d.Objective,
-			Idempotent: d.Idempotent,
+			Kind: kindOf(d), Must: d.Must, Version: b.placer.Version(), Changed: b.changed, Priority: d.Priority,
+			Objective: d.Objective, Idempotent: d.Idempotent,
 		}
 		switch {
 		case d.Lookup:
@@ -356,6 +356,7 @@
 	b.peers.current.Store(s)
 	b.mu.Lock()
 	b.placer.Configure(s)
+	b.changed = s.Changed
 	b.mu.Unlock()
 	logConfigured(b.telemetry, s)
 }
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -362,20 +362,23 @@
 	f.upstreamWhileAway(b)
 }
 
-// version returns the version of the configuration in force at a machine.
-func (f *fleet) version(machine string) bramleyfall.ConfigVersion {
-	var s bramleyfall.Snapshot
+// inForce returns the configuration in force at a machine, or an empty one.
+func (f *fleet) inForce(machine string) bramleyfall.Snapshot {
 	response, err := http.Get("http://" + f.at(machine, portMetrics) + "/configuration")
 	if err != nil {
-		return 0
+		return bramleyfall.Snapshot{}
 	}
 	defer response.Body.Close()
+	var s bramleyfall.Snapshot
 	if json.NewDecoder(response.Body).Decode(&s) != nil {
-		return 0
+		return bramleyfall.Snapshot{}
 	}
-	return s.Version
+	return s
 }
 
+// version returns the version of the configuration in force at a machine.
+func (f *fleet) version(machine string) bramleyfall.ConfigVersion { return f.inForce(machine).Version }
+
 // The watches that wait hear nothing any more, while their connections stay open
 // and new calls work. A balancer finds out by itself in less than the 4 s after
 // which it counts as in touch with the store again, and tells its agents.
@@ -395,6 +398,27 @@
 	is.True(time.Since(changed) < 4*time.Second)
 }
 
+// An evacuation changes no version. Past its deaf watch, an agent hears of it and of
+// its end by the packets of open flows.
+func TestDeafWatchesOfAnEvacuation(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	b, m := f.machine(), f.machine()
+	f.upstream(m)
+	f.balancer(b)
+	flow := f.open(f.client(), 2000, b)
+	f.ask(flow, "opened", b)
+	for _, out := range []bool{true, false} {
+		f.store.DeafenWatches()
+		f.store.Evacuate("Ikeja", out)
+		changed := time.Now()
+		f.await("the change at the balancer", func() bool { return f.inForce(b).Out["Ikeja"] == out })
+		f.ask(flow, "stays open", b)
+		f.await("the change at the agent", func() bool { return f.inForce(m).Out["Ikeja"] == out })
+		is.True(time.Since(changed) < 4*time.Second)
+	}
+}
+
 // upstreamWhileAway has an upstream and a configuration appear in changes whose
 // history is dropped before the balancer could see them.
 func (f *fleet) upstreamWhileAway(balancer string) {
--- a/direct/socket.go
+++ b/direct/socket.go
@@ -23,9 +23,6 @@
 	ReceiveBuffer = 1 << 20
 	// httpTimeout bounds the reading of a request.
 	httpTimeout = 5 * time.Second
-	// refreshEvery is the least time between two reads of the configuration that
-	// a peer's newer version asks for.
-	refreshEvery = 500 * time.Millisecond
 	// malformedSample is the number of bad messages for each one that is logged.
 	malformedSample = 100
 )
--- a/directory/follow.go
+++ b/directory/follow.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -19,14 +21,16 @@
 	// with the slack of the call less than the 4 s after which it counts as in
 	// touch with the store again.
 	BalancerWait = 3 * time.Second
-	// AgentWait is that of an agent's. Balancers' messages show it that there is a
-	// newer configuration.
-	AgentWait = 10 * time.Second
+	// AgentWait is that of an agent's, the longest that stores grant. Balancers'
+	// messages show it that something has changed.
+	AgentWait = 30 * time.Second
 	// rosterWait is the longest wait of a watch of the agents' entries.
 	rosterWait = 6 * time.Second
 	// settleFor is the pause after a watch that brought changes, so that changes
 	// in quick succession come by one call. It is a fraction of any bound.
 	settleFor = 250 * time.Millisecond
+	// behindFor is how long a watch may take to bring a change that a peer knows.
+	behindFor = 200 * time.Millisecond
 	// firstRetry and lastRetry bound the pauses between calls that failed. The
 	// last one leaves a store that turned calls away two tries a second.
 	firstRetry = 50 * time.Millisecond
@@ -70,26 +74,45 @@
 	changed func(*bramleyfall.Snapshot)
 	health  Dependency
 	wait    time.Duration
-	// ahead holds a peer that knows a newer configuration.
-	ahead chan bramleyfall.Endpoint
+	// ahead holds a peer that knows a later change.
+	ahead chan word
+	// revision is that of the store up to which all changes are known.
+	revision atomic.Uint64
+
+	// What follows belongs to Run.
 	known *bramleyfall.Snapshot
-	newer bramleyfall.Endpoint
+	newer word
+}
+
+// word is what a peer said: the revision of the last change that it knows.
+type word struct {
+	peer    bramleyfall.Endpoint
+	changed bramleyfall.Revision
 }
 
 // NewFollower returns a follower that hands each configuration to changed. Wait
 // is the longest wait of one watch.
 func NewFollower(source bramleyfall.ConfigurationSource, fetch Fetch, changed func(*bramleyfall.Snapshot), health Dependency, wait time.Duration) *Follower {
-	return &Follower{source: source, fetch: fetch, changed: changed, health: health, wait: wait, ahead: make(chan bramleyfall.Endpoint, 1)}
+	return &Follower{source: source, fetch: fetch, changed: changed, health: health, wait: wait, ahead: make(chan word, 1)}
 }
 
-// Behind has the configuration read again, because a peer knows a newer one.
-func (f *Follower) Behind(peer bramleyfall.Endpoint) {
+// Heard notes the revision of the last change that a peer knows. The configuration
+// is read again if the watch doesn't bring that change soon.
+func (f *Follower) Heard(peer bramleyfall.Endpoint, changed bramleyfall.Revision) {
+	if !f.behind(changed) {
+		return
+	}
 	select {
-	case f.ahead <- peer:
+	case f.ahead <- word{peer: peer, changed: changed}:
 	default:
 	}
 }
 
+// behind reports whether a change may be unknown.
+func (f *Follower) behind(changed bramleyfall.Revision) bool {
+	return uint64(changed) > f.revision.Load()
+}
+
 // Run follows the configuration until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	retry := newRetry()
@@ -107,19 +130,20 @@
 	}
 }
 
-// askPeer takes the configuration of a peer that is known to have a newer one.
+// askPeer takes the configuration of a peer that is known to be ahead.
 // A peer that doesn't answer is left out until it shows again that it has.
 func (f *Follower) askPeer(ctx context.Context) {
 	select {
 	case f.newer = <-f.ahead:
 	default:
 	}
-	if f.newer.IsZero() {
+	newer := f.newer
+	f.newer = word{}
+	if !f.behind(newer.changed) {
 		return
 	}
-	s, err := f.fetch(ctx, f.newer)
-	f.newer = bramleyfall.Endpoint{}
-	if err == nil && (f.known == nil || s.Version > f.known.Version) {
+	s, err := f.fetch(ctx, newer.peer)
+	if err == nil && f.behind(s.Changed) {
 		f.take(s)
 	}
 }
@@ -141,7 +165,8 @@
 		if err != nil {
 			return err
 		}
-		if next.Version != s.Version || len(next.Out) != len(s.Out) || !sameOut(next, s) {
+		f.revision.Store(uint64(next.Revision))
+		if !same(next, s) {
 			f.take(next)
 			sleep(ctx, settleFor)
 		}
@@ -149,13 +174,9 @@
 	}
 }
 
-func sameOut(a, b *bramleyfall.Snapshot) bool {
-	for domain := range a.Out {
-		if !b.Out[domain] {
-			return false
-		}
-	}
-	return true
+// same reports whether two configurations say the same.
+func same(a, b *bramleyfall.Snapshot) bool {
+	return a.Version == b.Version && maps.Equal(a.Out, b.Out)
 }
 
 // next waits for a change, or until a peer is known to have a newer one.
@@ -177,19 +198,47 @@
 
 func (f *Follower) loopStale(done <-chan struct{}, stopped chan<- struct{}, cancel context.CancelCauseFunc) {
 	defer close(stopped)
-	select {
-	case <-done:
-	case f.newer = <-f.ahead:
-		cancel(errStale)
+	for {
+		select {
+		case <-done:
+			return
+		case f.newer = <-f.ahead:
+		}
+		timer := time.NewTimer(behindFor)
+		select {
+		case <-done:
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		if f.behind(f.newer.changed) {
+			cancel(errStale)
+			return
+		}
 	}
 }
 
 // take hands a configuration on. One that is older than what was in force is
-// left out: versions never go back.
+// left out: neither versions nor the failure domains in service go back.
 func (f *Follower) take(s *bramleyfall.Snapshot) {
-	if f.known != nil && s.Version < f.known.Version {
+	if f.known != nil && (s.Version < f.known.Version || s.Revision < f.known.Revision) {
 		return
 	}
-	f.known = s
-	f.changed(s)
+	f.revision.Store(max(f.revision.Load(), uint64(s.Revision)))
+	f.known = f.dated(s)
+	f.changed(f.known)
+}
+
+// dated returns s with the revision of its last change. What was read in full
+// doesn't show when something was removed: at its own revision at the latest.
+func (f *Follower) dated(s *bramleyfall.Snapshot) *bramleyfall.Snapshot {
+	if f.known == nil {
+		return s
+	}
+	next := *s
+	next.Changed = max(s.Changed, f.known.Changed)
+	if !same(s, f.known) && s.Changed <= f.known.Revision {
+		next.Changed = s.Revision
+	}
+	return &next
 }
--- a/directory/follow_test.go
+++ b/directory/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,7 +51,9 @@
 }
 
 func version(v bramleyfall.ConfigVersion, out ...bramleyfall.DomainName) *bramleyfall.Snapshot {
-	s := &bramleyfall.Snapshot{Version: v, Out: make(map[bramleyfall.DomainName]bool)}
+	s := &bramleyfall.Snapshot{
+		Version: v, Out: make(map[bramleyfall.DomainName]bool), Revision: bramleyfall.Revision(v), Changed: bramleyfall.Revision(v),
+	}
 	for _, domain := range out {
 		s.Out[domain] = true
 	}
@@ -116,6 +119,66 @@
 	s.reads <- version(7)
 	is.Equal((<-taken).Version, bramleyfall.ConfigVersion(7))
 	s.reads <- nil
-	f.Behind(peer)
+	f.Heard(peer, 9)
 	is.Equal((<-taken).Version, bramleyfall.ConfigVersion(9))
 }
+
+// heard has a follower that knows version 7 hear of a change at revision 9.
+func heard(t *testing.T, play func(is *is.I, s *source, taken <-chan *bramleyfall.Snapshot)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSource()
+		f, taken := following(t, s, noPeer)
+		s.reads <- version(7)
+		<-taken
+		f.Heard(bramleyfall.Endpoint{IP: [4]byte{10, 0, 0, 9}, Port: 8172}, 9)
+		play(is.New(t), s, taken)
+	})
+}
+
+// A domain that was taken out changes no version; a deaf watch doesn't bring it.
+func TestFollowerReadsAgainWhatAPeerKnows(t *testing.T) {
+	heard(t, func(is *is.I, s *source, taken <-chan *bramleyfall.Snapshot) {
+		next := version(7, "Ikeja")
+		next.Revision, next.Changed = 9, 9
+		s.reads <- next
+		is.True((<-taken).Out["Ikeja"])
+	})
+}
+
+// A change that the watch brings a moment later costs no further call.
+func TestFollowerGivesItsWatchAMoment(t *testing.T) {
+	heard(t, func(is *is.I, s *source, taken <-chan *bramleyfall.Snapshot) {
+		s.reads <- version(11)
+		time.Sleep(100 * time.Millisecond)
+		s.next <- version(9)
+		is.Equal((<-taken).Version, bramleyfall.ConfigVersion(9))
+		time.Sleep(30 * time.Second)
+		is.Equal(len(s.reads), 1) // not read
+	})
+}
+
+// What was read in full shows no removal: its date is that of the read.
+func TestFollowerDatesARemoval(t *testing.T) {
+	tests := []struct {
+		name          string
+		out           []bramleyfall.DomainName
+		read, changed bramleyfall.Revision
+	}{
+		{"a domain is back", nil, 12, 12},
+		{"nothing has changed", []bramleyfall.DomainName{"Ikeja"}, 12, 7},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSource()
+			_, taken := following(t, s, noPeer)
+			s.reads <- version(7, "Ikeja")
+			is.Equal((<-taken).Changed, bramleyfall.Revision(7))
+			s.next <- nil // the history is lost: it is read again
+			again := version(7, test.out...)
+			again.Revision, again.Changed = test.read, 5
+			s.reads <- again
+			is.Equal((<-taken).Changed, test.changed)
+		})
+	}
+}
--- a/snapshot.go
+++ b/snapshot.go
@@ -42,7 +42,10 @@
 type Snapshot struct {
 	// Revision is the one of the store that a watch continues from.
 	Revision Revision
-	Version  ConfigVersion
+	// Changed is the revision of the last change of the configuration or of the
+	// failure domains in service that is known.
+	Changed Revision
+	Version ConfigVersion
 	Routes   map[Endpoint]*Route
 	Services map[ServiceName]ServiceLimits
 	// Out holds the failure domains that operators have taken out of service.
--- a/tunnel/message.go
+++ b/tunnel/message.go
@@ -48,8 +48,10 @@
 	Unlisted bool
 	// Code is why a packet is returned.
 	Code bramleyfall.ResultCode
-	// Version is the sender's version of the configuration.
+	// Version is the sender's version of the configuration, Changed the store's
+	// revision of the last change that it knows of what operators have set.
 	Version bramleyfall.ConfigVersion
+	Changed bramleyfall.Revision
 	// Service is the service that the balancer chose.
 	Service bramleyfall.ServiceKey
 	// Priority and Objective are those of the route, for openings. The objective
@@ -95,7 +97,8 @@
 	offsetTargetPort = 46
 	offsetObjective  = 48
 	offsetAck        = 50
-	headSize         = 54
+	offsetChanged    = 54
+	headSize         = 62
 )
 
 var states = []bramleyfall.UpstreamState{
@@ -140,6 +143,7 @@
 	binary.BigEndian.PutUint16(head[offsetSourcePort:], m.Flow.Source.Port)
 	binary.BigEndian.PutUint16(head[offsetObjective:], uint16(min(m.Objective.Milliseconds(), math.MaxUint16)))
 	binary.BigEndian.PutUint32(head[offsetAck:], m.Ack)
+	binary.BigEndian.PutUint64(head[offsetChanged:], uint64(m.Changed))
 	copy(head[offsetTarget:], m.Flow.Destination.IP[:])
 	binary.BigEndian.PutUint16(head[offsetTargetPort:], m.Flow.Destination.Port)
 	return append(append(b, head[:]...), m.Raw...)
@@ -159,6 +163,7 @@
 		Objective:  time.Duration(binary.BigEndian.Uint16(b[offsetObjective:])) * time.Millisecond,
 		Code:       bramleyfall.ResultCode(binary.BigEndian.Uint16(b[offsetCode:])),
 		Version:    bramleyfall.ConfigVersion(binary.BigEndian.Uint64(b[offsetVersion:])),
+		Changed:    bramleyfall.Revision(binary.BigEndian.Uint64(b[offsetChanged:])),
 		Service:    bramleyfall.ServiceKey(binary.BigEndian.Uint32(b[offsetService:])),
 		Load: bramleyfall.Load{
 			State:       states[b[offsetState]],
