--- a/directory/members.go
+++ b/directory/members.go
@@ -192,6 +192,8 @@
 
 // answer is what a call for changes brought.
 type answer struct {
+	// asOf is when the call was made, or zero where the answer may be a late copy of
+	// an earlier one.
 	asOf     time.Time
 	changes  []bramleyfall.Pair
 	revision bramleyfall.Revision
@@ -207,11 +209,15 @@
 	return answers
 }
 
-// await calls for the changes after a revision.
+// await calls for the changes after a revision. A watch that ends without any
+// before its time shows nothing.
 func (r *Roster) await(ctx context.Context, after bramleyfall.Revision, wait time.Duration) answer {
-	a := answer{asOf: r.clock.Now()}
-	a.changes, a.revision, a.err = r.store.Await(ctx, rosterPrefix, after, wait)
-	return a
+	asOf := r.clock.Now()
+	changes, revision, err := r.store.Await(ctx, rosterPrefix, after, wait)
+	if len(changes) == 0 && r.clock.Now().Sub(asOf) < wait {
+		asOf = time.Time{}
+	}
+	return answer{asOf: asOf, changes: changes, revision: revision, err: err}
 }
 
 // take takes the changes that are new, and returns their number. A watch brings
--- a/directory/pace_test.go
+++ b/directory/pace_test.go
@@ -32,8 +32,9 @@
 	// dropped is the last revision whose changes are no longer kept.
 	dropped bramleyfall.Revision
 	down    bool
-	// deaf makes watches wait for ever, but for looks.
-	deaf                   bool
+	// deaf makes watches wait for ever, but for looks, and copied has one end at
+	// once, as by a late copy of an earlier answer.
+	deaf, copied           bool
 	lists, looks, watching int
 }
 
@@ -101,6 +102,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
+	case m.copied && !look:
+		m.copied = false
+		return nil, after, true, nil
 	case m.deaf && !look:
 		return nil, 0, false, nil
 	case m.down:
@@ -298,6 +302,20 @@
 	})
 }
 
+// A watch that ends without changes before its time shows nothing.
+func TestLateCopyOfAWatch(t *testing.T) {
+	m := newMemory(8)
+	follows(t, m, func(is *is.I, k *known, _ *directory.Roster) {
+		time.Sleep(time.Second)
+		m.put(8) // the first watch ends, the second begins after a pause
+		time.Sleep(time.Second)
+		before := k.complete()
+		m.set(func() { m.deaf, m.copied = true, true })
+		time.Sleep(10 * time.Second)
+		is.Equal(k.complete(), before)
+	})
+}
+
 // After an outage the roster goes on where it was, and lists all entries only if
 // the store has dropped the changes since.
 func TestRosterGoesOnAfterAnOutage(t *testing.T) {
