Take only lists and looks for proof that all agents are known

Cause, found by reading: an answered watch counted as such proof while a pause of up to 1.5 s followed; an agent that was listed in that pause, and had got a flow from another balancer, wasn't known, and the flow's next packet here would have been answered with a reset. Change: a list or a look alone counts, and for as long as it does (1 s, as the placement trusts it) pauses stay at 0.25 s; a long pause ends at the first search. Before: TestNoLongPauseAfterALook failed, TestWatchIsNoList with it. After: both pass; TestWatchBringsNothingTwice holds that a look and the watch beside it agree. TestWatchShowsWhatIsKnown and TestLateCopyOfAWatch held the opposite and are replaced by TestWatchIsNoList, which is stricter: no watch counts, copied or not.

--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -15,6 +15,8 @@
 
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/direct"
+	"bramleyfall.example/bramleyfall/directory"
+	"bramleyfall.example/bramleyfall/placement"
 	"bramleyfall.example/bramleyfall/platform"
 	"bramleyfall.example/bramleyfall/platform/platformtest"
 	"bramleyfall.example/bramleyfall/telemetry"
@@ -419,6 +421,12 @@
 	}
 }
 
+// A balancer trusts a look for as long as its roster keeps its pauses short.
+func TestPausesAndTrustAgree(t *testing.T) {
+	is := is.New(t)
+	is.True(placement.DefaultConfig().FreshFor <= directory.FreshFor)
+}
+
 // upstreamWhileAway has an upstream and a configuration appear in changes whose
 // history is dropped before the balancer could see them.
 func (f *fleet) upstreamWhileAway(balancer string) {
--- a/directory/members.go
+++ b/directory/members.go
@@ -73,8 +73,8 @@
 	marks  marks
 	// revision is that up to which the entries are known, or zero.
 	revision bramleyfall.Revision
-	// since is when the first list was asked for, and asOf when the last call was
-	// that shows all entries, or zero.
+	// since is when the first list was asked for, and asOf when the last list or look
+	// was, or zero.
 	since, asOf time.Time
 	// refresh holds a request for a look.
 	refresh chan struct{}
@@ -143,8 +143,8 @@
 	if first {
 		r.announceRemoved(ctx, revision)
 	}
-	r.revision, r.asOf = revision, asOf
-	r.members.Listed(asOf)
+	r.revision = revision
+	r.listedAsOf(asOf)
 	return nil
 }
 
@@ -160,14 +160,13 @@
 		}
 	}()
 	for ctx.Err() == nil {
-		var a answer
-		switch {
-		case look:
-			a = r.await(ctx, r.revision, 0)
-		case waiting == nil:
+		if !look && waiting == nil {
 			waiting = r.startWatch(ctx)
-			continue
-		default:
+		}
+		var a answer
+		if look {
+			a = r.look(ctx)
+		} else {
 			select {
 			case a = <-waiting:
 				waiting = nil
@@ -182,6 +181,9 @@
 		r.health(nil)
 		succeeded()
 		changes := r.take(&a)
+		if look {
+			r.listedAsOf(a.asOf)
+		}
 		if err := r.writeMark(ctx); err != nil {
 			return err
 		}
@@ -190,10 +192,8 @@
 	return ctx.Err()
 }
 
-// answer is what a call for changes brought.
+// answer is what a call for changes brought, and when the call was made.
 type answer struct {
-	// asOf is when the call was made, or zero where the answer may be a late copy of
-	// an earlier one.
 	asOf     time.Time
 	changes  []bramleyfall.Pair
 	revision bramleyfall.Revision
@@ -209,15 +209,13 @@
 	return answers
 }
 
-// await calls for the changes after a revision. A watch that ends without any
-// before its time shows nothing.
+// look asks for what has changed by now.
+func (r *Roster) look(ctx context.Context) answer { return r.await(ctx, r.revision, 0) }
+
 func (r *Roster) await(ctx context.Context, after bramleyfall.Revision, wait time.Duration) answer {
-	asOf := r.clock.Now()
-	changes, revision, err := r.store.Await(ctx, rosterPrefix, after, wait)
-	if len(changes) == 0 && r.clock.Now().Sub(asOf) < wait {
-		asOf = time.Time{}
-	}
-	return answer{asOf: asOf, changes: changes, revision: revision, err: err}
+	a := answer{asOf: r.clock.Now()}
+	a.changes, a.revision, a.err = r.store.Await(ctx, rosterPrefix, after, wait)
+	return a
 }
 
 // take takes the changes that are new, and returns their number. A watch brings
@@ -231,13 +229,16 @@
 		}
 	}
 	r.revision = max(r.revision, a.revision)
-	if a.asOf.After(r.asOf) {
-		r.asOf = a.asOf
-		r.members.Listed(r.asOf)
-	}
 	return count
 }
 
+// listedAsOf tells the members that all entries that the store had at a time are
+// known to them.
+func (r *Roster) listedAsOf(at time.Time) {
+	r.asOf = at
+	r.members.Listed(at)
+}
+
 const (
 	// settleShare is the share of the entries whose changes are to be known within
 	// settleFor. Those of fewer may come later, by one call for several.
@@ -248,6 +249,9 @@
 	// settleFrom is the age of a roster from which its pauses may be longer than
 	// settleFor: agents whose entries have lapsed unseen are back before.
 	settleFrom = 5 * time.Second
+	// FreshFor is the time for which all agents count as known after a list or a look.
+	// Until then the pauses are no longer than settleFor.
+	FreshFor = time.Second
 )
 
 // settle pauses after a watch that brought changes, so that the next ones come by
@@ -257,7 +261,8 @@
 		return false
 	}
 	pause := settleFor
-	if r.clock.Now().Sub(r.since) >= settleFrom {
+	now := r.clock.Now()
+	if now.Sub(r.since) >= settleFrom && now.Sub(r.asOf) >= FreshFor {
 		pause = settleTime(changes, len(r.listed))
 	}
 	return sleepUntil(ctx, pause, r.refresh)
--- a/directory/pace_test.go
+++ b/directory/pace_test.go
@@ -32,9 +32,8 @@
 	// dropped is the last revision whose changes are no longer kept.
 	dropped bramleyfall.Revision
 	down    bool
-	// deaf makes watches wait for ever, but for looks, and copied has one end at
-	// once, as by a late copy of an earlier answer.
-	deaf, copied           bool
+	// deaf makes watches wait for ever, but for looks.
+	deaf                   bool
 	lists, looks, watching int
 }
 
@@ -64,6 +63,16 @@
 	m.history = append(m.history, pair)
 }
 
+// remove removes the entry of the agent that was put last.
+func (m *memory) remove() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := m.history[len(m.history)-1].Key
+	m.revision++
+	delete(m.entries, key)
+	m.history = append(m.history, bramleyfall.Pair{Key: key, ModRevision: int64(m.revision), Deleted: true})
+}
+
 func (m *memory) List(context.Context, string) ([]bramleyfall.Pair, bramleyfall.Revision, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -102,9 +111,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
-	case m.copied && !look:
-		m.copied = false
-		return nil, after, true, nil
 	case m.deaf && !look:
 		return nil, 0, false, nil
 	case m.down:
@@ -140,9 +146,10 @@
 type known struct {
 	directory.Members
 
-	mu   sync.Mutex
-	at   map[bramleyfall.InstanceID]time.Time
-	asOf time.Time
+	mu       sync.Mutex
+	at       map[bramleyfall.InstanceID]time.Time
+	unlisted []bramleyfall.InstanceID
+	asOf     time.Time
 }
 
 func (k *known) Announce(a bramleyfall.Announcement) {
@@ -157,6 +164,12 @@
 	k.asOf = asOf
 }
 
+func (k *known) Unlist(id bramleyfall.InstanceID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.unlisted = append(k.unlisted, id)
+}
+
 func (k *known) Incomplete(error) {}
 
 // knows returns when an agent was told of, or zero.
@@ -290,29 +303,55 @@
 	}
 }
 
-// An answered watch shows that all entries are known that were there as it began.
-func TestWatchShowsWhatIsKnown(t *testing.T) {
-	m := newMemory(8)
-	follows(t, m, func(is *is.I, k *known, _ *directory.Roster) {
-		time.Sleep(30 * time.Second)
-		is.True(time.Since(k.complete()) < 15*time.Second)
+// A watch that waited beside a look brings again what the look brought: an agent
+// that was removed meanwhile doesn't come back by it.
+func TestWatchBringsNothingTwice(t *testing.T) {
+	const agents = 60
+	m := newMemory(agents)
+	follows(t, m, func(is *is.I, k *known, r *directory.Roster) {
+		time.Sleep(10 * time.Second)
 		m.set(func() { m.deaf = true })
-		time.Sleep(30 * time.Second)
-		is.True(time.Since(k.complete()) > 25*time.Second)
+		m.put(agents)
+		m.remove()
+		r.Refresh()
+		time.Sleep(100 * time.Millisecond)
+		at := k.knows(agents)
+		is.True(!at.IsZero())
+		m.set(func() { m.deaf = false })
+		time.Sleep(10 * time.Second)
+		is.Equal(k.knows(agents), at)
+		is.Equal(len(k.unlisted), 1)
+	})
+}
+
+// While a look counts as a list of all, no pause is longer than the shortest: an
+// agent that another balancer knows already would be missed.
+func TestNoLongPauseAfterALook(t *testing.T) {
+	const agents = 60
+	m := newMemory(agents)
+	follows(t, m, func(is *is.I, k *known, r *directory.Roster) {
+		time.Sleep(10 * time.Second)
+		m.put(agents)
+		r.Refresh()
+		time.Sleep(300 * time.Millisecond)
+		m.put(agents + 1)
+		time.Sleep(50 * time.Millisecond)
+		m.put(agents + 2)
+		at := time.Now()
+		time.Sleep(2 * time.Second)
+		is.True(k.knows(agents+2).Sub(at) <= 300*time.Millisecond)
 	})
 }
 
-// A watch that ends without changes before its time shows nothing.
-func TestLateCopyOfAWatch(t *testing.T) {
+// A watch doesn't show that all is known: a late copy of an answer may have ended it.
+func TestWatchIsNoList(t *testing.T) {
 	m := newMemory(8)
 	follows(t, m, func(is *is.I, k *known, _ *directory.Roster) {
 		time.Sleep(time.Second)
-		m.put(8) // the first watch ends, the second begins after a pause
-		time.Sleep(time.Second)
-		before := k.complete()
-		m.set(func() { m.deaf, m.copied = true, true })
-		time.Sleep(10 * time.Second)
-		is.Equal(k.complete(), before)
+		m.put(8)
+		time.Sleep(30 * time.Second)
+		is.True(!k.knows(8).IsZero())
+		is.True(time.Since(k.complete()) > 30*time.Second)
 	})
 }
 
