--- a/snapshot.go
+++ b/snapshot.go
@@ -44,8 +44,8 @@
 	Revision Revision
 	// Changed is the revision of the last change of the configuration or of the
 	// failure domains in service that is known.
-	Changed Revision
-	Version ConfigVersion
+	Changed  Revision
+	Version  ConfigVersion
 	Routes   map[Endpoint]*Route
 	Services map[ServiceName]ServiceLimits
 	// Out holds the failure domains that operators have taken out of service.
