--- a/directory/follow.go
+++ b/directory/follow.go
@@ -21,9 +21,9 @@
 	// with the slack of the call less than the 4 s after which it counts as in
 	// touch with the store again.
 	BalancerWait = 3 * time.Second
-	// AgentWait is that of an agent's, the longest that stores grant. Balancers'
-	// messages show it that something has changed.
-	AgentWait = 30 * time.Second
+	// AgentWait is that of an agent's. Balancers' messages show it that something has
+	// changed, but an idle one gets none.
+	AgentWait = 10 * time.Second
 	// rosterWait is the longest wait of a watch of the agents' entries.
 	rosterWait = 6 * time.Second
 	// settleFor is the pause after a watch that brought changes, so that changes
