--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,6 +52,7 @@
 	{121, "the soak: SIGTERM came before the program had taken over its signals; its log was empty"},
 	{124, "the stand-in for servers: a late copy of an opening ended the open flow"},
 	{20, "the watch of a balancer went deaf while agents joined"},
+	{816, "an idle agent ended a deaf watch of the configuration after 30 s"},
 }
 
 // TestRegressions plays the seeds that failed once.
