Log restores of the store, refused answers and configurations that are not applied

The logs could not tell whether the client refused the store's answers, the watchers refused what they had read, or the store itself showed the old configuration: DependencyLost came once, with the reset of the connection as its reason. A dependency now logs again when the kind of failure changes; an answer taken for one of an earlier call has a code of its own (409 StaleResponse), restores are logged by the Store-Era header, configurations that are read and not applied too.

--- a/agent/direct.go
+++ b/agent/direct.go
@@ -55,7 +55,7 @@
 }
 
 func newDirectRunner(c directSettings, t *telemetry.Telemetry) (direct.Runner, error) {
-	store := platform.NewClient(c.Store, platform.WithObserver(t.ObserveStoreCall))
+	store := platform.NewClient(c.Store, platform.WithObserver(t.ObserveStoreCall), platform.WithRestoreObserver(t.ObserveRestore))
 	return direct.NewAgent(c.AgentConfig, bramleyfall.SystemClock(), platform.PacketCodec{}, store,
 		platform.NewConfigurationSource(store), platform.UpstreamHandler, t)
 }
--- a/direct/agent.go
+++ b/direct/agent.go
@@ -130,7 +130,8 @@
 	}
 	configuration := &dependency{telemetry: t, name: "Configuration"}
 	ownEntry := &dependency{telemetry: t, name: "OwnEntry"}
-	a.configWatcher = directory.NewConfigurationWatcher(source, a.peers.fetch, a.applyConfiguration, configuration.recordOutcome, directory.AgentWatchTimeout)
+	a.configWatcher = directory.NewConfigurationWatcher(source, a.peers.fetch, a.applyConfiguration, configuration.recordOutcome, directory.AgentWatchTimeout,
+		directory.WithRejectionObserver(logRejected(t)))
 	a.announcer = directory.NewAnnouncer(store, ownEntry.recordOutcome)
 	if a.tunnelConn, err = listenUDP(config.Packets); err != nil {
 		return nil, err
--- a/direct/balancer.go
+++ b/direct/balancer.go
@@ -99,7 +99,8 @@
 	}
 	configuration := &dependency{telemetry: t, name: "Configuration"}
 	entries := &dependency{telemetry: t, name: "AgentEntries"}
-	b.configWatcher = directory.NewConfigurationWatcher(source, b.peers.fetch, b.applyConfiguration, configuration.recordOutcome, directory.BalancerWatchTimeout)
+	b.configWatcher = directory.NewConfigurationWatcher(source, b.peers.fetch, b.applyConfiguration, configuration.recordOutcome, directory.BalancerWatchTimeout,
+		directory.WithRejectionObserver(logRejected(t)))
 	b.entryWatcher = directory.NewEntryWatcher(store, clock, b, entries.recordOutcome)
 	var err error
 	if b.callerConn, err = listenUDP(config.Packets); err != nil {
@@ -370,6 +371,21 @@
 	logConfigured(b.telemetry, s)
 }
 
+// logRejected returns a function that logs that an older configuration than the one in
+// force was read. It logs one line for each revision.
+func logRejected(t *telemetry.Telemetry) directory.RejectionFunc {
+	var logged bramleyfall.Revision
+	return func(read, inForce *bramleyfall.Snapshot) {
+		t.Counter("bramleyfall_older_configurations_total").Inc()
+		if read.Revision == logged {
+			return
+		}
+		logged = read.Revision
+		t.Log.Warn().Str("Event", "OlderConfiguration").Uint64("Version", uint64(read.Version)).Uint64("Revision", uint64(read.Revision)).
+			Uint64("VersionInForce", uint64(inForce.Version)).Uint64("RevisionInForce", uint64(inForce.Revision)).Msg("")
+	}
+}
+
 func logConfigured(t *telemetry.Telemetry, s *bramleyfall.Snapshot) {
 	t.Log.Info().Str("Event", "Configured").Uint64("Version", uint64(s.Version)).
 		Uint64("Revision", uint64(s.Revision)).Int("Routes", len(s.Routes)).Int("DomainsOut", len(s.Out)).Msg("")
--- a/direct/dependency.go
+++ b/direct/dependency.go
@@ -1,22 +1,27 @@
 package direct
 
-import "bramleyfall.example/bramleyfall/telemetry"
+import (
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/telemetry"
+)
 
-// dependency logs when calls to a dependency, such as the store, begin to fail and
-// when they succeed again.
+// dependency logs when calls to a dependency, such as the store, begin to fail, when
+// the kind of failure changes, and when they succeed again.
 type dependency struct {
 	telemetry *telemetry.Telemetry
 	name      string
-	failing   bool
+	// code is that of the last outcome. The zero value is none of a failed call.
+	code bramleyfall.ResultCode
 }
 
 // recordOutcome implements directory.HealthFunc. It is not safe for concurrent
 // use.
 func (d *dependency) recordOutcome(err error) {
-	if (err != nil) == d.failing {
+	code := bramleyfall.CodeOf(err)
+	if code == d.code {
 		return
 	}
-	d.failing = err != nil
+	d.code = code
 	if err != nil {
 		d.telemetry.Log.Warn().Str("Event", "DependencyLost").Str("Dependency", d.name).Str("Reason", err.Error()).Msg("")
 		return
--- a/directory/configuration.go
+++ b/directory/configuration.go
@@ -82,6 +82,7 @@
 	onChange     func(*bramleyfall.Snapshot)
 	health       HealthFunc
 	watchTimeout time.Duration
+	onRejection  RejectionFunc
 	// observed holds the revision of a peer that knows a later change.
 	observed chan peerRevision
 	// revision is the store revision up to which all changes are known.
@@ -101,10 +102,30 @@
 	changed bramleyfall.Revision
 }
 
+// RejectionFunc receives a configuration that was read but not applied because it
+// is older than the one in force.
+type RejectionFunc func(read, inForce *bramleyfall.Snapshot)
+
+// ConfigurationOption configures a ConfigurationWatcher.
+type ConfigurationOption func(*ConfigurationWatcher)
+
+// WithRejectionObserver sets a function that is called for each configuration that
+// is not applied because it is older than the one in force.
+func WithRejectionObserver(observe RejectionFunc) ConfigurationOption {
+	return func(w *ConfigurationWatcher) { w.onRejection = observe }
+}
+
 // NewConfigurationWatcher returns a watcher that passes each new configuration
 // to onChange. One watch takes at most watchTimeout.
-func NewConfigurationWatcher(source bramleyfall.ConfigurationSource, fetch FetchFunc, onChange func(*bramleyfall.Snapshot), health HealthFunc, watchTimeout time.Duration) *ConfigurationWatcher {
-	return &ConfigurationWatcher{source: source, fetch: fetch, onChange: onChange, health: health, watchTimeout: watchTimeout, observed: make(chan peerRevision, 1)}
+func NewConfigurationWatcher(source bramleyfall.ConfigurationSource, fetch FetchFunc, onChange func(*bramleyfall.Snapshot), health HealthFunc, watchTimeout time.Duration, options ...ConfigurationOption) *ConfigurationWatcher {
+	w := &ConfigurationWatcher{
+		source: source, fetch: fetch, onChange: onChange, health: health, watchTimeout: watchTimeout,
+		onRejection: func(*bramleyfall.Snapshot, *bramleyfall.Snapshot) {}, observed: make(chan peerRevision, 1),
+	}
+	for _, o := range options {
+		o(w)
+	}
+	return w
 }
 
 // ObservePeerRevision records the revision of the last change that a peer knows.
@@ -240,6 +261,7 @@
 // to an earlier state.
 func (w *ConfigurationWatcher) apply(s *bramleyfall.Snapshot) {
 	if w.known != nil && (s.Version < w.known.Version || s.Revision < w.known.Revision) {
+		w.onRejection(s, w.known)
 		return
 	}
 	w.revision.Store(max(w.revision.Load(), uint64(s.Revision)))
--- a/result.go
+++ b/result.go
@@ -50,6 +50,7 @@
 	HistoryLost        ResultCode = 406
 	LeaseLost          ResultCode = 407
 	MalformedMessage   ResultCode = 408
+	StaleResponse      ResultCode = 409
 
 	BadSetting   ResultCode = 501
 	BadStatement ResultCode = 502
@@ -71,7 +72,8 @@
 	PlatformAway: "PlatformAway", PlatformRolledBack: "PlatformRolledBack",
 	PeerAway: "PeerAway", BadSeal: "BadSeal",
 	HistoryLost: "HistoryLost", LeaseLost: "LeaseLost", MalformedMessage: "MalformedMessage",
-	BadSetting: "BadSetting", BadStatement: "BadStatement", BadTrace: "BadTrace", Mismatch: "Mismatch",
+	StaleResponse: "StaleResponse",
+	BadSetting:    "BadSetting", BadStatement: "BadStatement", BadTrace: "BadTrace", Mismatch: "Mismatch",
 }
 
 // String returns the name of c.
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -140,6 +140,12 @@
 // Stdout returns the default log output of programs.
 func Stdout() io.Writer { return os.Stdout }
 
+// ObserveRestore records that the platform's store was restored from an older copy.
+func (t *Telemetry) ObserveRestore(era bramleyfall.Era) {
+	t.Counter("bramleyfall_store_restores_total").Inc()
+	t.Log.Warn().Str("Event", "StoreRestored").Uint64("Era", uint64(era)).Msg("")
+}
+
 // ObserveStoreCall records the outcome and the duration of a call to the platform's
 // store. The call's label has neither the query nor the last of several path
 // segments, because parameters in them would create a time series for each call.
--- a/types.go
+++ b/types.go
@@ -28,6 +28,10 @@
 // Configuration revisions number the accepted changes from 1 without gaps.
 type Revision uint64
 
+// Era counts how often the key-value store was restored from an older copy. A
+// restore undoes all writes since the copy, and their revisions are assigned again.
+type Era uint64
+
 // BootID identifies one run of a process. It is the start time in nanoseconds
 // since the Unix epoch, so later runs have greater values.
 type BootID uint64
