Order revisions of the store by its era

Cause: revisions were compared as numbers. A restored store gives numbers out again, so the client took each list, write and grant of the new era for a delayed duplicate of an earlier response until the counter had passed the old one; the watcher of the configuration and the peers' messages compare the same numbers; and a watch from a number that had been given out again missed what lay between. A number names a state only within an era.

--- a/direct/balancer.go
+++ b/direct/balancer.go
@@ -381,14 +381,14 @@
 			return
 		}
 		logged = read.Revision
-		t.Log.Warn().Str("Event", "OlderConfiguration").Uint64("Version", uint64(read.Version)).Uint64("Revision", uint64(read.Revision)).
-			Uint64("VersionInForce", uint64(inForce.Version)).Uint64("RevisionInForce", uint64(inForce.Revision)).Msg("")
+		t.Log.Warn().Str("Event", "OlderConfiguration").Uint64("Version", uint64(read.Version)).Uint64("Revision", read.Revision.Number()).Uint64("Era", uint64(read.Revision.Era())).
+			Uint64("VersionInForce", uint64(inForce.Version)).Uint64("RevisionInForce", inForce.Revision.Number()).Uint64("EraInForce", uint64(inForce.Revision.Era())).Msg("")
 	}
 }
 
 func logConfigured(t *telemetry.Telemetry, s *bramleyfall.Snapshot) {
 	t.Log.Info().Str("Event", "Configured").Uint64("Version", uint64(s.Version)).
-		Uint64("Revision", uint64(s.Revision)).Int("Routes", len(s.Routes)).Int("DomainsOut", len(s.Out)).Msg("")
+		Uint64("Revision", s.Revision.Number()).Uint64("Era", uint64(s.Revision.Era())).Int("Routes", len(s.Routes)).Int("DomainsOut", len(s.Out)).Msg("")
 }
 
 // ListComplete implements directory.EntryHandler.
--- a/directory/entries.go
+++ b/directory/entries.go
@@ -238,7 +238,7 @@
 // report how far back its history reaches, so a binary search determines it.
 func (w *EntryWatcher) searchHistory(ctx context.Context, revision bramleyfall.Revision) ([]bramleyfall.KeyValue, error) {
 	var known []bramleyfall.KeyValue
-	limit := min(revision, maxRecentChanges)
+	limit := bramleyfall.Revision(min(revision.Number(), maxRecentChanges))
 	retained, lost := bramleyfall.Revision(0), 2*limit
 	for retained < limit && lost-retained > 1 {
 		distance := (retained + lost) / 2
--- a/types.go
+++ b/types.go
@@ -24,14 +24,32 @@
 // LeaseID identifies a lease of the key-value store.
 type LeaseID int64
 
-// Revision is a configuration revision or a revision of the key-value store.
-// Configuration revisions number the accepted changes from 1 without gaps.
-type Revision uint64
-
 // Era counts how often the key-value store was restored from an older copy. A
 // restore undoes all writes since the copy, and their revisions are assigned again.
 type Era uint64
 
+// Revision is a configuration revision or a revision of the key-value store.
+// Configuration revisions number the accepted changes from 1 without gaps. A
+// revision of the store holds the store's era in its upper bits: a number alone
+// does not identify a state of a store that was restored, and every revision of a
+// later era is greater than those of earlier eras.
+type Revision uint64
+
+// revisionNumberBits is the number of bits of a Revision below its era. The era has
+// 15 bits, so that a Revision also fits into an int64.
+const revisionNumberBits = 48
+
+// NewRevision returns the revision with the given number in an era.
+func NewRevision(era Era, number uint64) Revision {
+	return Revision(uint64(era)<<revisionNumberBits | number)
+}
+
+// Era returns the era of a revision of the store.
+func (r Revision) Era() Era { return Era(r >> revisionNumberBits) }
+
+// Number returns the number that the store assigned to the revision in its era.
+func (r Revision) Number() uint64 { return uint64(r) & (1<<revisionNumberBits - 1) }
+
 // BootID identifies one run of a process. It is the start time in nanoseconds
 // since the Unix epoch, so later runs have greater values.
 type BootID uint64
