--- a/direct/era_test.go
+++ b/direct/era_test.go
@@ -45,3 +45,27 @@
 	is.True(time.Since(changed) < applyLimit)
 	f.request(f.open(f.newCaller(), 2000, b), "order", b)
 }
+
+// Guards against an entry that stays missing, or as old as the copy, after a restore:
+// its lease is older than the copy and can still be renewed.
+func TestEntryIsBackAfterARestore(t *testing.T) {
+	const limit = 2500 * time.Millisecond // the entries are back about two seconds after the store
+	is := is.New(t)
+	f := newFleet(t)
+	m := f.newMachine()
+	upstream, _ := f.startUpstreamAndAgent(m)
+	first := f.store.Value("bramleyfall/agents/")
+	f.store.Backup()
+	upstream.Kill()
+	f.startUpstream(m, "i-second")
+	f.await("the entry of the second upstream", func() bool {
+		entry := f.store.Value("bramleyfall/agents/")
+		return entry != "" && entry != first
+	})
+	second := f.store.Value("bramleyfall/agents/")
+	f.store.Restore()
+	is.Equal(f.store.Value("bramleyfall/agents/"), first)
+	restored := time.Now()
+	f.await("the entry of the second upstream", func() bool { return f.store.Value("bramleyfall/agents/") == second })
+	is.True(time.Since(restored) < limit)
+}
