Don't take a list for complete right after a restore of the store

What could be seen: a flow of a living upstream reset by a balancer that had been paused or cut off while the upstream's agent wrote its first entry, or that read the list before the agent had written it again (FLOW).

Cause: a running watcher took every list for complete. The entries written since the copy are gone from a restored store, without a trace in its history, until their agents write them again within about 2 s; and pauses between watches of up to 1.5 s could then hide that for longer.

Fix: the first list of another era is reported as one that may be incomplete, which holds back resets for 2.75 s, and counts as a start for the length of the pauses.

--- a/directory/entries.go
+++ b/directory/entries.go
@@ -63,8 +63,8 @@
 	// been passed to EntryAdded.
 	ListComplete(asOf time.Time)
 	// ListMayBeIncomplete is called when the first list may lack agents whose
-	// entries expired shortly before. The reason is the error because of which that
-	// cannot be ruled out.
+	// entries expired shortly before, or a list those whose entries a restore of the
+	// store undid. The reason is the error because of which that cannot be ruled out.
 	ListMayBeIncomplete(reason error)
 	// RecordMalformed is called when the key or value of an entry or the checkpoint
 	// that balancers write cannot be parsed.
@@ -84,8 +84,10 @@
 	// revision is the store revision up to which all changes are known, or zero if
 	// the entries have to be listed.
 	revision bramleyfall.Revision
-	// startedAt is when the first list was requested, and lastListAt when the last
-	// list or poll was requested. They are zero before.
+	// era is the era of the last list.
+	era bramleyfall.Era
+	// startedAt is when the first list of the era was requested, and lastListAt when
+	// the last list or poll was requested. They are zero before.
 	startedAt, lastListAt time.Time
 	// refresh holds a request for a poll.
 	refresh chan struct{}
@@ -142,8 +144,12 @@
 	return w.watch(ctx, resume, succeeded)
 }
 
+var errRestored = errors.New("the store was restored from an older copy")
+
 // list reads all entries. The first list is completed from the history with the
-// agents whose entries were removed shortly before.
+// agents whose entries were removed shortly before. The first list after a restore
+// of the store lacks the entries that were written since the copy, and no history
+// shows them.
 func (w *EntryWatcher) list(ctx context.Context) error {
 	asOf := w.clock.Now()
 	pairs, revision, err := w.store.List(ctx, watchedPrefix)
@@ -151,10 +157,15 @@
 		return err
 	}
 	first := w.startedAt.IsZero()
-	if first {
+	restored := !first && revision.Era() != w.era
+	w.era = revision.Era()
+	if first || restored {
 		w.startedAt = asOf
 		w.checkpoints.reschedule(asOf)
 	}
+	if restored {
+		w.handler.ListMayBeIncomplete(errRestored)
+	}
 	w.applyList(pairs)
 	if first {
 		w.reportRemovedEntries(ctx, revision)
--- a/directory/entries_watch_test.go
+++ b/directory/entries_watch_test.go
@@ -32,6 +32,7 @@
 	history  []bramleyfall.KeyValue
 	// droppedUpTo is the last revision whose change is no longer retained.
 	droppedUpTo bramleyfall.Revision
+	backup      *memoryStore
 	unavailable bool
 	// watchesStalled makes watches block until they are canceled; polls still work.
 	watchesStalled        bool
@@ -117,7 +118,7 @@
 		return nil, 0, false, nil
 	case m.unavailable:
 		return nil, 0, false, errOutage
-	case after < m.droppedUpTo:
+	case after < m.droppedUpTo, after.Era() < m.revision.Era():
 		return nil, 0, false, bramleyfall.ErrHistoryLost
 	}
 	for _, change := range m.history {
@@ -142,8 +143,6 @@
 	return *n
 }
 
-func (m *memoryStore) Commit(context.Context, bramleyfall.Txn) (bool, error) { return true, nil }
-
 // timeRecorder records when an EntryWatcher reported each agent, and the time as
 // of which it last reported the list as complete.
 type timeRecorder struct {
--- /dev/null
+++ b/directory/era_test.go
@@ -0,0 +1,208 @@
+package directory_test
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/directory"
+)
+
+// takeBackup copies the entries and the revision for a later restore.
+func (m *memoryStore) takeBackup() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.backup = &memoryStore{revision: m.revision, entries: maps.Clone(m.entries)}
+}
+
+// restore begins a new era with the entries and the revision number of the backup.
+func (m *memoryStore) restore() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	era := m.revision.Era() + 1
+	m.revision, m.history = bramleyfall.NewRevision(era, m.backup.revision.Number()), nil
+	m.entries = make(map[string]bramleyfall.KeyValue)
+	for key, pair := range m.backup.entries {
+		pair.ModRevision = int64(bramleyfall.NewRevision(era, bramleyfall.Revision(pair.ModRevision).Number()))
+		m.entries[key] = pair
+	}
+}
+
+// putRecord writes a key that is not an entry.
+func (m *memoryStore) putRecord(key, value string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision++
+	pair := bramleyfall.KeyValue{Key: key, Value: []byte(value), ModRevision: int64(m.revision)}
+	m.entries[key] = pair
+	m.history = append(m.history, pair)
+}
+
+// Commit writes checkpoints, which are the only writes of an EntryWatcher.
+func (m *memoryStore) Commit(_ context.Context, txn bramleyfall.Txn) (bool, error) {
+	for _, w := range txn.Writes {
+		m.putRecord(w.Key, string(w.Value))
+	}
+	return true, nil
+}
+
+// eventRecorder records which agents are missing or withdrawn, and why a list may be
+// incomplete.
+type eventRecorder struct {
+	timeRecorder
+
+	withdrawn  []bramleyfall.InstanceID
+	incomplete []error
+}
+
+func (r *eventRecorder) EntryWithdrawn(id bramleyfall.InstanceID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.withdrawn = append(r.withdrawn, id)
+}
+
+func (r *eventRecorder) ListMayBeIncomplete(reason error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.incomplete = append(r.incomplete, reason)
+}
+
+// counts returns how often an agent was reported missing or withdrawn, and a list
+// incomplete.
+func (r *eventRecorder) counts() (missing, withdrawn, incomplete int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.missing), len(r.withdrawn), len(r.incomplete)
+}
+
+func newEventRecorder() *eventRecorder {
+	return &eventRecorder{timeRecorder: timeRecorder{addedAt: make(map[bramleyfall.InstanceID]time.Time)}}
+}
+
+// runEventWatcher runs an EntryWatcher of m in virtual time, and check concurrently.
+func runEventWatcher(t *testing.T, m *memoryStore, check func(is *is.I, r *eventRecorder)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newEventRecorder()
+		stop := startEntryWatcher(m, r)
+		defer stop()
+		check(is.New(t), r)
+	})
+}
+
+// startEntryWatcher starts an EntryWatcher and returns a function that stops it.
+func startEntryWatcher(m *memoryStore, r directory.EntryHandler) (stop func()) {
+	w := directory.NewEntryWatcher(m, bramleyfall.SystemClock(), r, func(error) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { w.Run(ctx) })
+	return func() {
+		cancel()
+		done.Wait()
+	}
+}
+
+// entryKey returns the key of the entry of agent n.
+func (m *memoryStore) entryKey(id bramleyfall.InstanceID) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key := range m.entries {
+		if bramleyfall.InstanceID(key[len(key)-len(id):]) == id {
+			return key
+		}
+	}
+	return ""
+}
+
+// Guards against resets of the flows of agents whose entries a restore of the store
+// undid before a balancer knew them: without such a report, the list counts as
+// complete.
+func TestListAfterARestoreMayBeIncomplete(t *testing.T) {
+	m := newMemoryStore(3)
+	runEventWatcher(t, m, func(is *is.I, r *eventRecorder) {
+		time.Sleep(time.Second)
+		m.takeBackup()
+		_, _, before := r.counts()
+		m.restore()
+		time.Sleep(7 * time.Second) // longer than a watch
+		_, _, incomplete := r.counts()
+		is.Equal(incomplete, before+1)
+	})
+}
+
+// Guards against resets of the flows of an agent that removed its entry, wrote it again,
+// and lost the second write by a restore: the record of the removal is back.
+func TestWithdrawalFromBeforeARestore(t *testing.T) {
+	m := newMemoryStore(3)
+	runEventWatcher(t, m, func(is *is.I, r *eventRecorder) {
+		key := m.entryKey(agentID(2))
+		m.removeLastEntry()
+		m.putRecord(withdrawnKey, key)
+		m.takeBackup()
+		m.putEntry(2)
+		time.Sleep(2 * time.Second)
+		missingBefore, withdrawnBefore, _ := r.counts()
+		m.restore()
+		time.Sleep(7 * time.Second) // longer than a watch
+		missing, withdrawn, _ := r.counts()
+		is.Equal(missing, missingBefore+1)
+		is.Equal(withdrawn, withdrawnBefore)
+	})
+}
+
+// Guards against a long pause after a restore, while agents write their entries again.
+func TestChangesAfterARestoreComeSoon(t *testing.T) {
+	const agents = 60
+	m := newMemoryStore(agents)
+	runEventWatcher(t, m, func(is *is.I, r *eventRecorder) {
+		time.Sleep(10 * time.Second)
+		m.takeBackup()
+		m.restore()
+		time.Sleep(2 * time.Second) // longer than a pause
+		for n := range 6 {
+			m.putEntry(agents + n)
+			at := time.Now()
+			time.Sleep(350 * time.Millisecond)
+			is.True(!r.addedTime(agents + n).IsZero())
+			is.True(r.addedTime(agents+n).Sub(at) <= 300*time.Millisecond)
+		}
+	})
+}
+
+// Guards against resets by a balancer that starts after a restore: a checkpoint that
+// refers to changes from before the restore does not show that the list is complete.
+func TestCheckpointsAcrossARestore(t *testing.T) {
+	tests := []struct {
+		name string
+		// sinceRestore is the time between the restore and the start.
+		sinceRestore time.Duration
+		incomplete   bool
+	}{
+		{"the checkpoint of the copy", 0, true},
+		{"the first checkpoint of the era", 6500 * time.Millisecond, true},
+		{"a later checkpoint", 30 * time.Second, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newMemoryStore(3)
+			runEventWatcher(t, m, func(is *is.I, _ *eventRecorder) {
+				time.Sleep(30 * time.Second)
+				m.takeBackup()
+				time.Sleep(2 * time.Second)
+				m.restore()
+				time.Sleep(test.sinceRestore)
+				started := newEventRecorder()
+				stop := startEntryWatcher(m, started)
+				time.Sleep(100 * time.Millisecond)
+				stop()
+				_, _, incomplete := started.counts()
+				is.Equal(incomplete > 0, test.incomplete)
+			})
+		})
+	}
+}
