Ignore the withdrawal record of a copy after a restore of the store

What could be seen: resets of open flows whose upstream lives (FLOW): an agent withdrew its entry as its upstream ended, wrote a new one for the next upstream, and the store came back from a copy between the two. The copy holds the record of the withdrawal and no entry, and the balancers that know the agent wait for it no longer than for one that has left.

Cause: the record is ordered against entries by revision, but the entry that came after it is gone. The first list of another era now leaves it out; what agents withdraw later comes by the watch.

--- a/directory/entries.go
+++ b/directory/entries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -149,7 +150,7 @@
 // list reads all entries. The first list is completed from the history with the
 // agents whose entries were removed shortly before. The first list after a restore
 // of the store lacks the entries that were written since the copy, and no history
-// shows them.
+// shows them. The withdrawal record of the copy may be older than such an entry.
 func (w *EntryWatcher) list(ctx context.Context) error {
 	asOf := w.clock.Now()
 	pairs, revision, err := w.store.List(ctx, watchedPrefix)
@@ -166,6 +167,9 @@
 	if restored {
 		w.handler.ListMayBeIncomplete(errRestored)
 	}
+	if restored {
+		pairs = slices.DeleteFunc(pairs, func(p bramleyfall.KeyValue) bool { return p.Key == withdrawnKey })
+	}
 	w.applyList(pairs)
 	if first {
 		w.reportRemovedEntries(ctx, revision)
