Don't refer to checkpoints from before a restore of the store

What could be seen: a balancer started within seconds after a restore resets flows of an agent whose entry is not back yet (FLOW): the history that it reads reaches back to a checkpoint, but lacks what was written between the copy and the restore.

Cause: a running balancer lists the checkpoint of the copy under a revision of the new era, and names it in the next one as a place from which the history is whole. A checkpoint now holds the era that its writer knew; read in another era, it is no longer referred to, and neither are those that it names. The first checkpoint of an era names none, the second names the first, 4.5 s later or more, by when agents have written their entries again.

The value has no Era where the store has none.

--- a/directory/checkpoint.go
+++ b/directory/checkpoint.go
@@ -40,13 +40,17 @@
 type checkpoint struct {
 	// Previous holds the revisions of the checkpoints before this one, oldest first.
 	Previous []int64 `json:"Previous"`
+	// Era is the era of the store that the writer knew. A checkpoint that is read in
+	// another era comes from before a restore: changes after it are missing from the
+	// history.
+	Era bramleyfall.Era `json:"Era,omitempty"`
 }
 
 var errNoHistory = errors.New("the store's history does not reach back to an earlier checkpoint")
 
 // checkpointState holds what an EntryWatcher knows about the checkpoints.
 type checkpointState struct {
-	// last is the revision of the latest known checkpoint, or zero.
+	// last is the revision of the latest known checkpoint of the era, or zero.
 	last int64
 	// previous holds the revisions that the latest known checkpoint refers to.
 	previous []int64
@@ -72,6 +76,9 @@
 	var value checkpoint
 	err := json.Unmarshal(pair.Value, &value)
 	s.last, s.previous = pair.ModRevision, value.Previous
+	if value.Era != bramleyfall.Revision(pair.ModRevision).Era() {
+		s.last, s.previous = 0, nil
+	}
 	s.reschedule(now)
 	return errors.Wrap(err, "mark")
 }
@@ -97,7 +104,7 @@
 		return nil
 	}
 	w.checkpoints.reschedule(now)
-	value, err := json.Marshal(checkpoint{Previous: w.checkpoints.nextPrevious()})
+	value, err := json.Marshal(checkpoint{Previous: w.checkpoints.nextPrevious(), Era: w.revision.Era()})
 	if err != nil {
 		return err
 	}
--- a/directory/entries_watch_test.go
+++ b/directory/entries_watch_test.go
@@ -33,7 +33,9 @@
 	// droppedUpTo is the last revision whose change is no longer retained.
 	droppedUpTo bramleyfall.Revision
 	backup      *memoryStore
-	unavailable bool
+	// keepsCheckpoints makes Commit write.
+	keepsCheckpoints bool
+	unavailable      bool
 	// watchesStalled makes watches block until they are canceled; polls still work.
 	watchesStalled        bool
 	lists, polls, watches int
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -44,8 +44,12 @@
 	m.history = append(m.history, pair)
 }
 
-// Commit writes checkpoints, which are the only writes of an EntryWatcher.
+// Commit writes checkpoints, which are the only writes of an EntryWatcher, if
+// keepsCheckpoints is set.
 func (m *memoryStore) Commit(_ context.Context, txn bramleyfall.Txn) (bool, error) {
+	if !m.keepsCheckpoints {
+		return true, nil
+	}
 	for _, w := range txn.Writes {
 		m.putRecord(w.Key, string(w.Value))
 	}
@@ -190,6 +194,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			m := newMemoryStore(3)
+			m.keepsCheckpoints = true
 			runEventWatcher(t, m, func(is *is.I, _ *eventRecorder) {
 				time.Sleep(30 * time.Second)
 				m.takeBackup()
