Keep evacuations, and what is newer, over a restore of the store

What could be seen: openings sent to a failure domain that is to get nothing (EVAC), as its evacuation is gone from the restored store and the operators have not written it again; and an evacuation written after the restore that is not obeyed, as the configuration beside it is still an older version.

Cause: what the store held was taken or left as a whole, by version and revision. An evacuation has no version, so one that a restore undid looked like one that was taken back; and a lower version hid the domain states that were read with it.

Fix: version and domain states are put in force each by its own order. A domain that was out of service before a restore stays out until the store shows it so again, or for 2 s, the time within which the users expect entries to be back.

TestEvacuationOutlastsARestore (back in service at the first read before), TestEvacuationBesideAnOlderVersion (not applied within 1 s before).

--- a/direct/agent.go
+++ b/direct/agent.go
@@ -131,7 +131,7 @@
 	configuration := &dependency{telemetry: t, name: "Configuration"}
 	ownEntry := &dependency{telemetry: t, name: "OwnEntry"}
 	a.configWatcher = directory.NewConfigurationWatcher(source, a.peers.fetch, a.applyConfiguration, configuration.recordOutcome, directory.AgentWatchTimeout,
-		directory.WithRejectionObserver(logRejected(t)))
+		directory.WithRejectionObserver(logRejected(t)), directory.WithClock(clock))
 	a.announcer = directory.NewAnnouncer(store, ownEntry.recordOutcome)
 	if a.tunnelConn, err = listenUDP(config.Packets); err != nil {
 		return nil, err
@@ -252,7 +252,7 @@
 	}
 	index := a.balancerIndex(toEndpoint(sender))
 	a.balancers[index].reportDue = true
-	a.configWatcher.ObservePeerRevision(a.balancers[index].address, m.Changed)
+	a.configWatcher.ObservePeer(a.balancers[index].address, m.Changed, m.Version)
 	switch m.Kind {
 	case tunnel.Probe:
 		if m.EntryMissing && !now.Before(a.nextRenewal) {
--- a/direct/balancer.go
+++ b/direct/balancer.go
@@ -100,7 +100,7 @@
 	configuration := &dependency{telemetry: t, name: "Configuration"}
 	entries := &dependency{telemetry: t, name: "AgentEntries"}
 	b.configWatcher = directory.NewConfigurationWatcher(source, b.peers.fetch, b.applyConfiguration, configuration.recordOutcome, directory.BalancerWatchTimeout,
-		directory.WithRejectionObserver(logRejected(t)))
+		directory.WithRejectionObserver(logRejected(t)), directory.WithClock(clock))
 	b.entryWatcher = directory.NewEntryWatcher(store, clock, b, entries.recordOutcome)
 	var err error
 	if b.callerConn, err = listenUDP(config.Packets); err != nil {
@@ -241,7 +241,7 @@
 		b.telemetry.Log.Info().Str("Event", "UpstreamState").Str("Agent", string(b.placer.InstanceAt(from))).
 			Str("State", string(m.Load.State)).Uint16("Busy", m.Load.Busy).Uint16("Slots", m.Load.Slots).Msg("")
 	}
-	b.configWatcher.ObservePeerRevision(from, m.Changed)
+	b.configWatcher.ObservePeer(from, m.Changed, m.Version)
 	switch m.Kind {
 	case tunnel.Return:
 		b.handleReturn(&m, from, now)
--- a/directory/configuration.go
+++ b/directory/configuration.go
@@ -83,8 +83,9 @@
 	health       HealthFunc
 	watchTimeout time.Duration
 	onRejection  RejectionFunc
-	// observed holds the revision of a peer that knows a later change.
-	observed chan peerRevision
+	clock        bramleyfall.Clock
+	// observed holds the state of a peer that knows a later change.
+	observed chan peerState
 	// revision is the store revision up to which all changes are known.
 	revision atomic.Uint64
 
@@ -93,13 +94,17 @@
 	// known is the configuration in force, or nil.
 	known *bramleyfall.Snapshot
 	// ahead is the last value received from observed, or zero.
-	ahead peerRevision
+	ahead peerState
+	// retained holds the evacuations that a restore of the store may have undone.
+	retained retainedEvacuations
 }
 
-// peerRevision is the revision of the last change that a peer knows.
-type peerRevision struct {
+// peerState is what a peer knows: the revision of the last change and the version of
+// the configuration.
+type peerState struct {
 	peer    bramleyfall.Endpoint
 	changed bramleyfall.Revision
+	version bramleyfall.ConfigVersion
 }
 
 // RejectionFunc receives a configuration that was read but not applied because it
@@ -115,12 +120,19 @@
 	return func(w *ConfigurationWatcher) { w.onRejection = observe }
 }
 
+// WithClock sets the clock by which evacuations are retained after a restore of the
+// store. The default is the system's clock.
+func WithClock(clock bramleyfall.Clock) ConfigurationOption {
+	return func(w *ConfigurationWatcher) { w.clock = clock }
+}
+
 // NewConfigurationWatcher returns a watcher that passes each new configuration
 // to onChange. One watch takes at most watchTimeout.
 func NewConfigurationWatcher(source bramleyfall.ConfigurationSource, fetch FetchFunc, onChange func(*bramleyfall.Snapshot), health HealthFunc, watchTimeout time.Duration, options ...ConfigurationOption) *ConfigurationWatcher {
 	w := &ConfigurationWatcher{
 		source: source, fetch: fetch, onChange: onChange, health: health, watchTimeout: watchTimeout,
-		onRejection: func(*bramleyfall.Snapshot, *bramleyfall.Snapshot) {}, observed: make(chan peerRevision, 1),
+		onRejection: func(*bramleyfall.Snapshot, *bramleyfall.Snapshot) {}, clock: bramleyfall.SystemClock(),
+		observed: make(chan peerState, 1),
 	}
 	for _, o := range options {
 		o(w)
@@ -128,21 +140,22 @@
 	return w
 }
 
-// ObservePeerRevision records the revision of the last change that a peer knows.
-// The configuration is read again if the watch doesn't deliver that change soon.
-func (w *ConfigurationWatcher) ObservePeerRevision(peer bramleyfall.Endpoint, changed bramleyfall.Revision) {
-	if !w.isBehind(changed) {
+// ObservePeer records what a peer knows. If the watch doesn't deliver it soon, the
+// configuration is read again and, if the store lacks it, fetched from the peer.
+func (w *ConfigurationWatcher) ObservePeer(peer bramleyfall.Endpoint, changed bramleyfall.Revision, version bramleyfall.ConfigVersion) {
+	state := peerState{peer: peer, changed: changed, version: version}
+	if !w.isBehind(state) {
 		return
 	}
 	select {
-	case w.observed <- peerRevision{peer: peer, changed: changed}:
+	case w.observed <- state:
 	default:
 	}
 }
 
-// isBehind reports whether the change at revision changed may still be unknown.
-func (w *ConfigurationWatcher) isBehind(changed bramleyfall.Revision) bool {
-	return uint64(changed) > w.revision.Load()
+// isBehind reports whether a peer may know a change that is unknown here.
+func (w *ConfigurationWatcher) isBehind(p peerState) bool {
+	return uint64(p.changed) > w.revision.Load()
 }
 
 // Run watches the configuration until ctx is done.
@@ -164,19 +177,19 @@
 
 // fetchFromPeer applies the configuration of a peer that is known to have a later
 // change. After a failed fetch the peer is not asked again until
-// ObservePeerRevision reports it again.
+// ObservePeer reports it again.
 func (w *ConfigurationWatcher) fetchFromPeer(ctx context.Context) {
 	select {
 	case w.ahead = <-w.observed:
 	default:
 	}
 	ahead := w.ahead
-	w.ahead = peerRevision{}
-	if !w.isBehind(ahead.changed) {
+	w.ahead = peerState{}
+	if !w.isBehind(ahead) {
 		return
 	}
 	s, err := w.fetch(ctx, ahead.peer)
-	if err == nil && w.isBehind(s.Changed) {
+	if err == nil && w.isBehind(peerState{changed: s.Changed, version: s.Version}) {
 		w.apply(s)
 	}
 }
@@ -199,8 +212,11 @@
 			return err
 		}
 		w.revision.Store(uint64(next.Revision))
-		if !sameConfiguration(next, s) {
+		changed := !sameConfiguration(next, s)
+		if changed || w.retained.due(w.clock.Now()) {
 			w.apply(next)
+		}
+		if changed {
 			sleep(ctx, minBatchPause)
 		}
 		s = next
@@ -224,7 +240,7 @@
 		<-stopped
 	}()
 	go w.cancelWhenStale(done, stopped, cancel)
-	next, err := w.source.Next(ctx, s, w.watchTimeout)
+	next, err := w.source.Next(ctx, s, w.retained.limitWait(w.watchTimeout, w.clock.Now()))
 	if err != nil && errors.Is(context.Cause(ctx), errStale) {
 		return nil, errStale
 	}
@@ -249,33 +265,36 @@
 			return
 		case <-timer.C:
 		}
-		if w.isBehind(w.ahead.changed) {
+		if w.isBehind(w.ahead) {
 			cancel(errStale)
 			return
 		}
 	}
 }
 
-// apply passes a configuration to onChange unless it is older than the one in
-// force: neither the version nor the set of failure domains in service may revert
-// to an earlier state.
+// apply passes a configuration to onChange, except for its parts that are older than
+// those in force.
 func (w *ConfigurationWatcher) apply(s *bramleyfall.Snapshot) {
-	if w.known != nil && (s.Version < w.known.Version || s.Revision < w.known.Revision) {
-		w.onRejection(s, w.known)
-		return
+	rejected := w.known != nil && (s.Version < w.known.Version || s.Revision < w.known.Revision)
+	next := s
+	if w.known != nil {
+		next = w.withLastChange(w.merge(s))
 	}
 	w.revision.Store(max(w.revision.Load(), uint64(s.Revision)))
-	w.known = w.withLastChange(s)
-	w.onChange(w.known)
+	if rejected {
+		w.onRejection(s, w.known)
+		if sameConfiguration(next, w.known) && next.Changed == w.known.Changed {
+			return
+		}
+	}
+	w.known = next
+	w.onChange(next)
 }
 
 // withLastChange returns s with Changed set to the revision of its last change.
 // A full read does not show when something was removed; the revision of the read
 // is the latest possible one.
 func (w *ConfigurationWatcher) withLastChange(s *bramleyfall.Snapshot) *bramleyfall.Snapshot {
-	if w.known == nil {
-		return s
-	}
 	next := *s
 	next.Changed = max(s.Changed, w.known.Changed)
 	if !sameConfiguration(s, w.known) && s.Changed <= w.known.Revision {
--- a/directory/configuration_test.go
+++ b/directory/configuration_test.go
@@ -38,8 +38,10 @@
 	}
 }
 
-func (s *fakeSource) Next(ctx context.Context, known *bramleyfall.Snapshot, _ time.Duration) (*bramleyfall.Snapshot, error) {
+func (s *fakeSource) Next(ctx context.Context, known *bramleyfall.Snapshot, wait time.Duration) (*bramleyfall.Snapshot, error) {
 	select {
+	case <-time.After(wait):
+		return known, nil
 	case <-ctx.Done():
 		return known, ctx.Err()
 	case snapshot := <-s.next:
@@ -124,7 +126,7 @@
 	s.reads <- newSnapshot(7)
 	is.Equal((<-applied).Version, bramleyfall.ConfigVersion(7))
 	s.reads <- nil
-	w.ObservePeerRevision(peer, 9)
+	w.ObservePeer(peer, 9, 9)
 	is.Equal((<-applied).Version, bramleyfall.ConfigVersion(9))
 }
 
@@ -136,7 +138,7 @@
 		w, applied := startWatcher(t, s, unexpectedFetch)
 		s.reads <- newSnapshot(7)
 		<-applied
-		w.ObservePeerRevision(bramleyfall.Endpoint{IP: [4]byte{10, 0, 0, 9}, Port: 8172}, 9)
+		w.ObservePeer(bramleyfall.Endpoint{IP: [4]byte{10, 0, 0, 9}, Port: 8172}, 9, 7)
 		check(is.New(t), s, applied)
 	})
 }
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -211,3 +211,117 @@
 		})
 	}
 }
+
+// snapshotInEra returns newSnapshot(v, out...) at revision number v of an era.
+func snapshotInEra(era bramleyfall.Era, v bramleyfall.ConfigVersion, out ...bramleyfall.DomainName) *bramleyfall.Snapshot {
+	s := newSnapshot(v, out...)
+	s.Revision = bramleyfall.NewRevision(era, uint64(v))
+	s.Changed = s.Revision
+	return s
+}
+
+// Guards against returning a domain to service because a restore of the store undid
+// its evacuation: operators write it again, but not at once.
+func TestEvacuationOutlastsARestore(t *testing.T) {
+	const grace = 2 * time.Second
+	tests := []struct {
+		name      string
+		rewritten bool
+		// outFor is the time for which the domain must stay out.
+		outFor time.Duration
+		// back is set if the domain must be in service afterwards.
+		back bool
+	}{
+		{"written again", true, 10 * grace, false},
+		{"not written again", false, grace - 100*time.Millisecond, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newFakeSource()
+				_, applied := startWatcher(t, s, unexpectedFetch)
+				s.reads <- snapshotInEra(1, 9, "Ikeja")
+				is.True((<-applied).Out["Ikeja"])
+				s.next <- nil // the history is lost, so the configuration is read again
+				s.reads <- snapshotInEra(2, 9)
+				is.True((<-applied).Out["Ikeja"])
+				if test.rewritten {
+					time.Sleep(grace / 2)
+					s.next <- snapshotInEra(2, 10, "Ikeja")
+				}
+				out, restored := true, time.Now()
+				for time.Since(restored) < test.outFor {
+					time.Sleep(50 * time.Millisecond)
+					out = lastOut(applied, out)
+					is.True(out)
+				}
+				time.Sleep(grace)
+				is.Equal(lastOut(applied, out), !test.back)
+			})
+		})
+	}
+}
+
+// lastOut returns whether Ikeja is out of service in the configuration applied last, or
+// out if there is no new one.
+func lastOut(applied <-chan *bramleyfall.Snapshot, out bool) bool {
+	for {
+		select {
+		case s := <-applied:
+			out = s.Out["Ikeja"]
+		default:
+			return out
+		}
+	}
+}
+
+// Guards against missing an evacuation that is written after a restore, before the
+// operators have written the newest version again.
+func TestEvacuationBesideAnOlderVersion(t *testing.T) {
+	is := is.New(t)
+	s := newFakeSource()
+	_, applied := startWatcher(t, s, unexpectedFetch)
+	s.reads <- snapshotInEra(1, 9)
+	<-applied
+	s.next <- nil // the history is lost, so the configuration is read again
+	s.reads <- snapshotInEra(2, 7)
+	s.next <- snapshotInEra(2, 7, "Ikeja")
+	for deadline := time.After(time.Second); ; {
+		select {
+		case next := <-applied:
+			is.Equal(next.Version, bramleyfall.ConfigVersion(9))
+			if next.Out["Ikeja"] {
+				return
+			}
+		case <-deadline:
+			t.Fatal("the evacuation was not applied")
+		}
+	}
+}
+
+// Guards against an older version in a process that starts after a restore, before the
+// operators have written the newest one again: peers know it.
+func TestNewerVersionOfAPeerAfterARestore(t *testing.T) {
+	is := is.New(t)
+	peer := bramleyfall.Endpoint{IP: [4]byte{10, 0, 0, 9}, Port: 8172}
+	s := newFakeSource()
+	w, applied := startWatcher(t, s, func(context.Context, bramleyfall.Endpoint) (*bramleyfall.Snapshot, error) {
+		return snapshotInEra(1, 9), nil
+	})
+	s.reads <- snapshotInEra(2, 7, "Ikeja")
+	is.Equal((<-applied).Version, bramleyfall.ConfigVersion(7))
+	s.reads <- snapshotInEra(2, 7, "Ikeja")
+	w.ObservePeer(peer, bramleyfall.NewRevision(1, 9), 9)
+	for deadline := time.After(2 * time.Second); ; {
+		select {
+		case next := <-applied:
+			is.True(next.Out["Ikeja"]) // the peer's older state does not count
+			if next.Version == 9 {
+				return
+			}
+		case <-deadline:
+			t.Fatal("the peer's version was not applied")
+		}
+	}
+}
