Fetch a newer version from peers when the store has an older one

What could be seen: a process that starts after a restore, before operators have written again, handles openings by the version of the copy (CONFIG).

Cause: processes told each other revisions, and asked a peer only while the store turned them away. Revisions of before the restore are lower than all of after, so nobody seemed ahead; the version, which messages carry, was not looked at. Now a peer with a higher version counts as ahead too, and if a read of the store does not bring that version it is fetched from the peer.

--- a/directory/configuration.go
+++ b/directory/configuration.go
@@ -86,8 +86,9 @@
 	clock        bramleyfall.Clock
 	// observed holds the state of a peer that knows a later change.
 	observed chan peerState
-	// revision is the store revision up to which all changes are known.
-	revision atomic.Uint64
+	// revision is the store revision up to which all changes are known, and version
+	// the version of the configuration in force.
+	revision, version atomic.Uint64
 
 	// The fields below are used only by Run and the goroutine of its watch.
 
@@ -155,7 +156,7 @@
 
 // isBehind reports whether a peer may know a change that is unknown here.
 func (w *ConfigurationWatcher) isBehind(p peerState) bool {
-	return uint64(p.changed) > w.revision.Load()
+	return uint64(p.changed) > w.revision.Load() || uint64(p.version) > w.version.Load()
 }
 
 // Run watches the configuration until ctx is done.
@@ -204,6 +205,9 @@
 		return err
 	}
 	w.apply(s)
+	if w.isBehind(w.ahead) {
+		w.fetchFromPeer(ctx)
+	}
 	for {
 		w.health(nil)
 		retry.Reset()
@@ -281,6 +285,7 @@
 		next = w.withLastChange(w.merge(s))
 	}
 	w.revision.Store(max(w.revision.Load(), uint64(s.Revision)))
+	w.version.Store(uint64(next.Version))
 	if rejected {
 		w.onRejection(s, w.known)
 		if sameConfiguration(next, w.known) && next.Changed == w.known.Changed {
