Show that a change after a restore of the platform is wrongly said to be in force

After the platform came back without revisions 2 to 4, a change is accepted at revision 2, and the operator is told: 'change c-after at revision 2 is in force at all 6 instances', as all are at revision 4 or above. It is in force nowhere but at the balancer that took it, if there.

The stand-in platform learns backup and restore (standin/etcd/restore.go, POST /standin/backup and /standin/restore). scenario/testdata/restored.txtar fails; listed in KNOWN-RED.txt until the fix.

--- a/standin/etcd/server.go
+++ b/standin/etcd/server.go
@@ -70,6 +70,8 @@
 	handle(s, mux, "/v3/lease/revoke", s.serveRevoke)
 	mux.HandleFunc("POST /v3/watch", s.serveWatch)
 	mux.HandleFunc("POST /standin/faults", s.serveFaults)
+	mux.HandleFunc("POST /standin/backup", func(http.ResponseWriter, *http.Request) { s.store.Backup() })
+	mux.HandleFunc("POST /standin/restore", func(http.ResponseWriter, *http.Request) { s.store.Restore() })
 	mux.HandleFunc("GET /standin/calls", s.serveCalls)
 	mux.HandleFunc("GET /standin/history", s.serveHistory)
 	return mux
--- a/standin/etcd/store.go
+++ b/standin/etcd/store.go
@@ -23,6 +23,7 @@
 	lastLeaseID int64
 	watchers    map[*watcher]bool
 	history     []etcd.Event
+	backup      *backup
 }
 
 type lease struct {
