Write changes again that the platform has lost by a restore

What operators saw: 'change c-after at revision 2 is in force at all 6 instances', while it is in force at none of the others: they are at revision 4, by other changes, and count every revision up to 4 as known.

After the platform came back from an older copy, the writer gave lost revisions to new changes. The reader refused such a platform, so the instances kept what was accepted, but nothing stopped a balancer from writing to it, and nothing brought the accepted changes back.

Fix: a reader that finds the platform behind its own history writes the lost changes again, under their revisions and ids, by the transactions on the head that order all changes; several readers may do so at once. A proposal carries what its instance knows, by revision and change id, and a platform that lacks it accepts nothing (402 PlatformRolledBack, nothing written). A platform that has other changes in their place is refused as before.

Contacts' leases: the id could be given out again too, but this platform's ids are random and a contact never changes, so nothing is done there.

--- a/balancer/changes.go
+++ b/balancer/changes.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/configuration"
 )
 
 // KnownRevision implements etcd.ChangeHandler.
@@ -11,14 +12,34 @@
 	var revision bramleyfall.Revision
 	var id bramleyfall.ChangeID
 	_ = c.runTask(context.Background(), func() {
-		revision = c.node.State().Revision()
-		if changes, ok := c.node.State().ChangesAfter(revision - min(revision, 1)); ok && len(changes) > 0 {
-			id = changes[len(changes)-1].ID
-		}
+		revision, id = c.node.State().Revision(), lastChangeID(c.node.State())
 	})
 	return revision, id
 }
 
+// lastChangeID returns the ID of the change at the revision of s, or "" if it is unknown.
+func lastChangeID(s *configuration.State) bramleyfall.ChangeID {
+	changes, ok := s.ChangesAfter(s.Revision() - min(s.Revision(), 1))
+	if !ok || len(changes) == 0 {
+		return ""
+	}
+	return changes[len(changes)-1].ID
+}
+
+// ChangesAfter implements etcd.ChangeHandler.
+func (c *controller) ChangesAfter(revision bramleyfall.Revision) ([]bramleyfall.Change, bool) {
+	var changes []bramleyfall.Change
+	var ok bool
+	_ = c.runTask(context.Background(), func() { changes, ok = c.node.State().ChangesAfter(revision) })
+	return changes, ok
+}
+
+// ChangesRewritten implements etcd.ChangeHandler.
+func (c *controller) ChangesRewritten(changes []bramleyfall.Change) {
+	c.telemetry.Log.Warn().Str("Event", "ChangesRewritten").Int("Changes", len(changes)).
+		Uint64("Revision", uint64(changes[len(changes)-1].Revision)).Msg("")
+}
+
 // HandleChanges implements etcd.ChangeHandler.
 func (c *controller) HandleChanges(changes []bramleyfall.Change, full bool, revision bramleyfall.Revision) {
 	_ = c.runTask(context.Background(), func() {
--- a/balancer/operator.go
+++ b/balancer/operator.go
@@ -20,7 +20,7 @@
 		view = operator.View{
 			Revision: state.Revision(), NewestRevision: state.NewestRevision(), Services: state.Services(),
 			Domains: state.Domains(), Members: c.node.Members(),
-			Drained: make(map[bramleyfall.InstanceID]bool), PlatformError: c.platformErr,
+			Drained: make(map[bramleyfall.InstanceID]bool), PlatformError: c.platformErr, LastChange: lastChangeID(state),
 		}
 		for _, m := range view.Members {
 			if state.Drained(m.ID) {
--- a/etcd/reader.go
+++ b/etcd/reader.go
@@ -11,8 +11,9 @@
 )
 
 // Reader reads and watches the configuration in the store and passes changes to a
-// ChangeHandler. It rejects a store that has lost accepted changes, for instance
-// after a restore from an older backup.
+// ChangeHandler. If the store has lost accepted changes, for instance by a restore
+// from an older backup, it writes them again. It rejects a store with other changes in
+// their place.
 type Reader struct {
 	store   bramleyfall.KeyValueStore
 	handler ChangeHandler
@@ -23,6 +24,12 @@
 	// KnownRevision returns the configuration revision up to which all changes are
 	// known, and the ID of the change at that revision, or "" if the ID is unknown.
 	KnownRevision() (bramleyfall.Revision, bramleyfall.ChangeID)
+	// ChangesAfter returns the changes after a configuration revision in ascending
+	// order, or false if not all of them are known.
+	ChangesAfter(revision bramleyfall.Revision) ([]bramleyfall.Change, bool)
+	// ChangesRewritten is called after changes that the store had lost were written
+	// again.
+	ChangesRewritten(changes []bramleyfall.Change)
 	// HandleChanges receives changes up to a configuration revision. If full is set,
 	// changes is a snapshot of the whole configuration at that revision.
 	HandleChanges(changes []bramleyfall.Change, full bool, revision bramleyfall.Revision)
@@ -99,8 +106,10 @@
 }
 
 // CatchUp reads the changes after the known revision, or a full snapshot if the
-// store no longer has all of them. It returns an error with code PlatformRolledBack
-// if the store is behind the known revision or has another change at that revision.
+// store no longer has all of them. If the store is behind the known revision, CatchUp
+// writes the missing changes again. It returns an error with code PlatformRolledBack
+// if not all of these are known, or if the store has another change at a known
+// revision.
 func (r *Reader) CatchUp(ctx context.Context) error {
 	latest, err := readLatestRevision(ctx, r.store)
 	if err != nil {
@@ -108,7 +117,7 @@
 	}
 	known, lastID := r.handler.KnownRevision()
 	if latest.Revision < known {
-		return rolledBackError(latest.Revision, known)
+		return r.rewriteLostChanges(ctx, latest.Revision, known)
 	}
 	changes, err := readChanges(ctx, r.store, changeKey(max(known, 1)), PrefixEnd(changePrefix))
 	if err != nil {
@@ -162,13 +171,20 @@
 }
 
 func readLatestRevision(ctx context.Context, store bramleyfall.KeyValueStore) (latestRevision, error) {
+	latest, _, err := readLatest(ctx, store)
+	return latest, err
+}
+
+// readLatest returns the latest configuration revision and the store's modification
+// revision of the key that holds it.
+func readLatest(ctx context.Context, store bramleyfall.KeyValueStore) (latestRevision, int64, error) {
 	pairs, _, err := store.Range(ctx, latestRevisionKey, "")
 	if err != nil || len(pairs) == 0 {
-		return latestRevision{}, err
+		return latestRevision{}, 0, err
 	}
 	var latest latestRevision
 	err = json.Unmarshal(pairs[0].Value, &latest)
-	return latest, err
+	return latest, pairs[0].ModRevision, err
 }
 
 // readChanges returns the changes stored under the keys in [from, to).
--- a/etcd/writer.go
+++ b/etcd/writer.go
@@ -27,6 +27,12 @@
 	// Edit returns the new value of Key for its current value. A nil value means
 	// that the key has no value.
 	Edit func(current json.RawMessage) (json.RawMessage, error)
+	// Known is the revision up to which the submitting instance knows all changes, and
+	// KnownID the ID of the change at that revision, or "" if it is unknown. Newest is
+	// the newest revision that the instance has heard of. A store that lacks these
+	// changes does not accept the proposal.
+	Known, Newest bramleyfall.Revision
+	KnownID       bramleyfall.ChangeID
 }
 
 // Writer commits configuration changes with compare-and-swap transactions.
@@ -42,8 +48,8 @@
 
 // Submit commits a change and returns it as accepted. It retries while concurrent
 // changes of other keys are committed first. If the error's code is NotAccepted,
-// LostRace (the key itself was changed concurrently) or PlatformAway, nothing was
-// written; if it is Unknown, the write may have taken effect. Submit is idempotent: a
+// LostRace (the key itself was changed concurrently), PlatformAway or
+// PlatformRolledBack, nothing was written; if it is Unknown, the write may have taken effect. Submit is idempotent: a
 // repeated call with the same ID never applies a change twice.
 func (w *Writer) Submit(ctx context.Context, p Proposal) (bramleyfall.Change, error) {
 	first := true
@@ -52,7 +58,7 @@
 		if c, ok, err := w.Find(ctx, p.ID); err != nil || ok {
 			return c, err
 		}
-		current, modRevision, err := w.current(ctx, p.Key)
+		current, modRevision, err := currentChange(ctx, w.store, p.Key)
 		if err != nil {
 			return bramleyfall.Change{}, err
 		}
@@ -89,10 +95,10 @@
 	return c, true, nil
 }
 
-// current returns the latest change of a key and the store's modification revision
+// currentChange returns the latest change of a key and the store's modification revision
 // of that key.
-func (w *Writer) current(ctx context.Context, key string) (bramleyfall.Change, int64, error) {
-	pairs, _, err := w.store.Range(ctx, itemKey(key), "")
+func currentChange(ctx context.Context, store bramleyfall.KeyValueStore, key string) (bramleyfall.Change, int64, error) {
+	pairs, _, err := store.Range(ctx, itemKey(key), "")
 	if err != nil || len(pairs) == 0 {
 		return bramleyfall.Change{}, 0, err
 	}
@@ -104,17 +110,12 @@
 // tryCommit makes one attempt to commit a change. The returned bool is false if
 // another change was committed first.
 func (w *Writer) tryCommit(ctx context.Context, p Proposal, current bramleyfall.Change, modRevision int64) (bramleyfall.Change, bool, error) {
-	pairs, _, err := w.store.Range(ctx, latestRevisionKey, "")
+	latest, latestModRevision, err := readLatest(ctx, w.store)
 	if err != nil {
 		return bramleyfall.Change{}, false, err
 	}
-	var latest latestRevision
-	var latestModRevision int64
-	if len(pairs) > 0 {
-		latestModRevision = pairs[0].ModRevision
-		if err := json.Unmarshal(pairs[0].Value, &latest); err != nil {
-			return bramleyfall.Change{}, false, err
-		}
+	if err := w.checkHistory(ctx, &p, latest.Revision); err != nil {
+		return bramleyfall.Change{}, false, err
 	}
 	value, err := p.Edit(current.Value)
 	if err != nil {
@@ -123,7 +124,7 @@
 	c := bramleyfall.Change{
 		Revision: latest.Revision + 1, ID: p.ID, Key: p.Key, Value: value, Actor: p.Actor, At: w.clock.Now().UTC(),
 	}
-	txn, err := w.newTxn(ctx, c, modRevision, latestModRevision)
+	txn, err := newTxn(ctx, w.store, c, modRevision, latestModRevision)
 	if err != nil {
 		return bramleyfall.Change{}, false, err
 	}
@@ -137,6 +138,19 @@
 	return bramleyfall.Change{}, false, err
 }
 
+// checkHistory returns an error with code PlatformRolledBack if the store, which is at
+// revision latest, lacks changes that the submitting instance knows. It would assign
+// their revisions to other changes.
+func (w *Writer) checkHistory(ctx context.Context, p *Proposal, latest bramleyfall.Revision) error {
+	if known := max(p.Known, p.Newest); latest < known {
+		return rolledBackError(latest, known)
+	}
+	if p.Known == 0 || p.KnownID == "" || latest-p.Known >= maxRetainedChanges {
+		return nil
+	}
+	return checkChangeID(ctx, w.store, p.Known, p.KnownID, p.Known)
+}
+
 // resolveOutcome determines whether a write whose response was lost took effect.
 // Sending the same transaction again is safe: if the first one took effect, its
 // conditions are no longer met.
@@ -171,7 +185,7 @@
 // modRevision, nor the latest revision, at latestModRevision, has been changed and
 // no change with the ID of c exists. A modification revision of 0 means that the
 // key must not exist.
-func (w *Writer) newTxn(ctx context.Context, c bramleyfall.Change, modRevision, latestModRevision int64) (bramleyfall.Txn, error) {
+func newTxn(ctx context.Context, store bramleyfall.KeyValueStore, c bramleyfall.Change, modRevision, latestModRevision int64) (bramleyfall.Txn, error) {
 	record, err := json.Marshal(c)
 	if err != nil {
 		return bramleyfall.Txn{}, err
@@ -194,7 +208,7 @@
 		},
 	}
 	if c.Revision > maxRetainedChanges {
-		deletes, err := w.pruneChange(ctx, c.Revision-maxRetainedChanges)
+		deletes, err := pruneChange(ctx, store, c.Revision-maxRetainedChanges)
 		if err != nil {
 			return bramleyfall.Txn{}, err
 		}
@@ -205,8 +219,8 @@
 
 // pruneChange returns the writes that delete the change at revision r and the entry
 // for its ID.
-func (w *Writer) pruneChange(ctx context.Context, r bramleyfall.Revision) ([]bramleyfall.Write, error) {
-	pairs, _, err := w.store.Range(ctx, changeKey(r), "")
+func pruneChange(ctx context.Context, store bramleyfall.KeyValueStore, r bramleyfall.Revision) ([]bramleyfall.Write, error) {
+	pairs, _, err := store.Range(ctx, changeKey(r), "")
 	if err != nil || len(pairs) == 0 {
 		return nil, err
 	}
--- a/operator/service.go
+++ b/operator/service.go
@@ -98,6 +98,7 @@
 	}
 	proposal.ID = bramleyfall.ChangeID(r.ChangeId)
 	proposal.Actor = r.Actor
+	proposal.Known, proposal.KnownID, proposal.Newest = view.Revision, view.LastChange, view.NewestRevision
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	if reply, done := s.alreadyAccepted(ctx, proposal.ID); done {
--- a/operator/view.go
+++ b/operator/view.go
@@ -15,10 +15,12 @@
 	// NewestRevision is the greatest one that it knows to exist.
 	Revision       bramleyfall.Revision
 	NewestRevision bramleyfall.Revision
-	Services       []bramleyfall.Service
-	Domains        map[bramleyfall.DomainName]bramleyfall.Domain
-	Members        []bramleyfall.Member
-	Drained        map[bramleyfall.InstanceID]bool
+	// LastChange is the ID of the change at Revision, or "" if it is unknown.
+	LastChange bramleyfall.ChangeID
+	Services   []bramleyfall.Service
+	Domains    map[bramleyfall.DomainName]bramleyfall.Domain
+	Members    []bramleyfall.Member
+	Drained    map[bramleyfall.InstanceID]bool
 	// PlatformError is nil while the platform responds.
 	PlatformError error
 }
--- a/standin/etcd/etcd_test.go
+++ b/standin/etcd/etcd_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -170,8 +171,20 @@
 	lastChange bramleyfall.ChangeID
 	full       bool
 	count      int
+	// log holds the changes that the sink knows, from revision 1.
+	log       []bramleyfall.Change
+	rewritten int
 }
 
+func (s *recordingSink) ChangesAfter(revision bramleyfall.Revision) ([]bramleyfall.Change, bool) {
+	if int(revision) > len(s.log) {
+		return nil, false
+	}
+	return s.log[revision:], true
+}
+
+func (s *recordingSink) ChangesRewritten(changes []bramleyfall.Change) { s.rewritten += len(changes) }
+
 func (s *recordingSink) KnownRevision() (bramleyfall.Revision, bramleyfall.ChangeID) {
 	return s.revision, s.lastChange
 }
@@ -211,3 +224,105 @@
 		})
 	}
 }
+
+// submit commits a change with the given ID, which must be accepted.
+func (f *fixture) submit(t *testing.T, id string) bramleyfall.Change {
+	t.Helper()
+	c, err := f.writer.Submit(context.Background(), proposal(id, "Out", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against accepted changes that revert, or whose revisions are assigned to other
+// changes, after the store was restored from an older copy.
+func TestLostChangesAreWrittenAgain(t *testing.T) {
+	tests := []struct {
+		name string
+		// lost is the number of accepted changes that the copy lacks.
+		lost int
+		// other is the number of other changes that are written after the restore.
+		other     int
+		code      bramleyfall.ResultCode
+		rewritten int
+	}{
+		{"some are lost", 2, 0, bramleyfall.OK, 2},
+		{"all are lost", 4, 0, bramleyfall.OK, 4},
+		{"another change was written in their place", 2, 1, bramleyfall.PlatformRolledBack, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			const accepted = 4
+			ctx := context.Background()
+			f := newFixture(t)
+			sinks := []*recordingSink{{}, {}}
+			for n := range accepted {
+				if n == accepted-test.lost {
+					f.store.Backup()
+				}
+				c := f.submit(t, "c-"+strconv.Itoa(n+1))
+				for _, s := range sinks {
+					s.revision, s.lastChange, s.log = c.Revision, c.ID, append(s.log, c)
+				}
+			}
+			f.store.Restore()
+			for n := range test.other {
+				f.submit(t, "c-other-"+strconv.Itoa(n))
+			}
+			rewritten := 0
+			for _, s := range sinks {
+				is.Equal(bramleyfall.CodeOf(etcd.NewReader(f.client, s).CatchUp(ctx)), test.code)
+				rewritten += s.rewritten
+			}
+			is.Equal(rewritten, test.rewritten) // by the first reader only
+			if test.code != bramleyfall.OK {
+				return
+			}
+			for _, c := range sinks[0].log {
+				found, ok, err := f.writer.Find(ctx, c.ID)
+				is.NoErr(err)
+				is.True(ok)
+				is.Equal(found.Revision, c.Revision)
+			}
+			is.Equal(f.submit(t, "c-next").Revision, bramleyfall.Revision(accepted+1))
+		})
+	}
+}
+
+// Guards against accepting a change at a revision that the submitting instance, and
+// others, know with another change.
+func TestNoChangeIsAcceptedByAnOlderStore(t *testing.T) {
+	tests := []struct {
+		name string
+		// known are the changes that the submitting instance knows.
+		known func(p *etcd.Proposal)
+		code  bramleyfall.ResultCode
+	}{
+		{"knows more than the store", func(p *etcd.Proposal) { p.Known, p.KnownID, p.Newest = 3, "c-3", 3 }, bramleyfall.PlatformRolledBack},
+		{"has heard of more", func(p *etcd.Proposal) { p.Known, p.KnownID, p.Newest = 1, "c-1", 3 }, bramleyfall.PlatformRolledBack},
+		{"knows another change", func(p *etcd.Proposal) { p.Known, p.KnownID, p.Newest = 2, "c-2", 2 }, bramleyfall.PlatformRolledBack},
+		{"knows no more", func(p *etcd.Proposal) { p.Known, p.KnownID, p.Newest = 1, "c-1", 1 }, bramleyfall.OK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t)
+			f.submit(t, "c-1")
+			f.store.Backup()
+			f.submit(t, "c-2")
+			f.store.Restore()
+			f.submit(t, "c-other")
+			p := proposal("c-new", "In", nil)
+			test.known(&p)
+			_, err := f.writer.Submit(context.Background(), p)
+			is.Equal(bramleyfall.CodeOf(err), test.code)
+			want := 0
+			if test.code == bramleyfall.OK {
+				want = 1
+			}
+			is.Equal(f.countAccepted("c-new"), want)
+		})
+	}
+}
