Apply listed entries in the order in which they were written

What could be seen: a balancer that does not use a living upstream until its agent writes its entry anew. After a restore, or within 8 s of a crash, the store holds the entry of an agent that has left beside that of the agent that now uses its address. The last one applied wins, and that was the one whose key comes last.

--- a/directory/entries.go
+++ b/directory/entries.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -271,10 +272,11 @@
 }
 
 // applyList applies a list of all entries. Known entries that it lacks count as
-// removed.
+// removed. Of two entries with the same address, the one that was written later
+// belongs to the agent that uses the address.
 func (w *EntryWatcher) applyList(pairs []bramleyfall.KeyValue) {
 	present := make(map[string]bool, len(pairs))
-	for _, pair := range pairs {
+	for _, pair := range slices.SortedStableFunc(slices.Values(pairs), compareForList) {
 		present[pair.Key] = true
 		w.applyChange(pair)
 	}
@@ -285,6 +287,18 @@
 	}
 }
 
+// compareForList orders the entries of a list by revision, and before all other keys.
+func compareForList(a, b bramleyfall.KeyValue) int {
+	aIsEntry, bIsEntry := strings.HasPrefix(a.Key, agentPrefix), strings.HasPrefix(b.Key, agentPrefix)
+	switch {
+	case aIsEntry && !bIsEntry:
+		return -1
+	case !aIsEntry && bIsEntry:
+		return 1
+	}
+	return cmp.Compare(a.ModRevision, b.ModRevision)
+}
+
 func (w *EntryWatcher) applyChange(pair bramleyfall.KeyValue) {
 	switch {
 	case pair.Key == checkpointKey:
--- a/directory/entries_watch_test.go
+++ b/directory/entries_watch_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -85,8 +87,8 @@
 		return nil, 0, errOutage
 	}
 	var pairs []bramleyfall.KeyValue
-	for _, pair := range m.entries {
-		pairs = append(pairs, pair)
+	for _, key := range slices.Sorted(maps.Keys(m.entries)) {
+		pairs = append(pairs, m.entries[key])
 	}
 	return pairs, m.revision, nil
 }
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -325,3 +325,22 @@
 		}
 	}
 }
+
+// Guards against the entry of an agent that has left, which a restore brought back,
+// displacing that of the agent that now uses its address: the later entry must come last.
+func TestLatestEntryOfAnAddressComesLast(t *testing.T) {
+	is := is.New(t)
+	m := newMemoryStore(0)
+	put := func(instance, service string) {
+		m.putRecord("bramleyfall/agents/"+service+"/10.0.0.1:8000/"+instance,
+			`{"Instance":"`+instance+`","Service":"`+service+`","Packets":"10.0.0.1:8000"}`)
+	}
+	put("agent-1", "railbook")
+	put("agent-2", "drawhub") // its key comes first in a list
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &recorder{onList: cancel}
+	directory.NewEntryWatcher(m, bramleyfall.SystemClock(), r, func(error) {}).Run(ctx)
+	is.Equal(len(r.malformed), 0)
+	is.Equal(len(r.added), 2)
+	is.Equal(r.added[1].Instance, bramleyfall.InstanceID("agent-2"))
+}
