Let the soak restore the store from an older copy

The fault 'store restored' takes a copy, lets up to nine seconds pass, makes the store fail for up to 1.5 s, brings the copy back, and lets the operators write their keys again up to 1.5 s later. The seeds kept as regressions play the list of faults that they failed with; all others may restore.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -38,7 +39,11 @@
 	{"zone evacuated", 1, evacuateZone},
 }
 
-func pickFault(r *rand.Rand) *fault {
+// faultsWithRestores are the faults of all seeds but the regressions from before the
+// store could be restored, whose sequence of faults must stay the same.
+var faultsWithRestores = append(slices.Clone(faults), fault{"store restored", 4, restoreStore})
+
+func pickFault(faults []fault, r *rand.Rand) *fault {
 	total := 0
 	for i := range faults {
 		total += faults[i].weight
@@ -154,6 +159,25 @@
 	d.markStoreDisturbed(0)
 }
 
+// restoreStore makes the store fail and come back from an older copy. The operators
+// write their keys again some time later.
+func restoreStore(d *deployment, r *rand.Rand) {
+	const copiesPerRestore = 3 // the copy is up to three times as old as other faults last
+	d.store.Backup()
+	for range copiesPerRestore {
+		time.Sleep(randomDuration(r))
+	}
+	outage, untilRewrite := randomDuration(r)/2, randomDuration(r)/2
+	d.markStoreDisturbed(outage + untilRewrite)
+	d.store.SetFault(storeFaults[r.IntN(len(storeFaults))])
+	time.Sleep(outage)
+	rewrite := d.store.Restore()
+	d.store.SetFault(platformtest.FaultNone)
+	time.Sleep(untilRewrite)
+	rewrite()
+	d.markStoreDisturbed(0)
+}
+
 func injectProxyFault(d *deployment, r *rand.Rand) {
 	machines := d.machines()
 	m := machines[r.IntN(len(machines))]
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,7 +38,7 @@
 
 // TestSoak injects random faults, with the seed and the duration given by flags.
 func TestSoak(t *testing.T) {
-	soak(t, *seedFlag, time.Duration(*minutesFlag*float64(time.Minute)))
+	soak(t, *seedFlag, time.Duration(*minutesFlag*float64(time.Minute)), faultsWithRestores)
 }
 
 // regressions are seeds that have failed, with the cause of each failure.
@@ -64,12 +64,12 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, r.seed, duration)
+			soak(t, r.seed, duration, faults)
 		})
 	}
 }
 
-func soak(t *testing.T, seed uint64, duration time.Duration) {
+func soak(t *testing.T, seed uint64, duration time.Duration, faults []fault) {
 	d := newDeployment(t, seed, *agentsFlag)
 	d.await("first answers", settleTime, d.serves)
 	time.Sleep(time.Second) // until all instances have discovered each other
@@ -81,7 +81,7 @@
 		go callers[n].loop(&callersDone)
 	}
 	go d.loopVersions()
-	d.injectFaults(rand.New(rand.NewPCG(seed, 0)), duration)
+	d.injectFaults(faults, rand.New(rand.NewPCG(seed, 0)), duration)
 	d.await("service after the last fault", settleTime, d.serves)
 	d.await("entries of all agents", settleTime, func() bool { return len(d.store.Keys("bramleyfall/agents/")) == len(d.agents) })
 	d.await("the latest configuration", agentConfigTimeout, d.allConfigured)
@@ -106,16 +106,16 @@
 
 // injectFaults starts random faults for the given duration, without waiting for
 // earlier ones to end, and returns when the last one has ended.
-func (d *deployment) injectFaults(r *rand.Rand, duration time.Duration) {
+func (d *deployment) injectFaults(faults []fault, r *rand.Rand, duration time.Duration) {
 	var running sync.WaitGroup
-	var storeMutex sync.Mutex // serializes the faults named "store"
+	var storeMutex sync.Mutex // serializes the faults of the store itself
 	for end := time.Now().Add(duration); time.Now().Before(end); {
 		time.Sleep(time.Duration(r.ExpFloat64() * float64(faultInterval)))
-		next := pickFault(r)
+		next := pickFault(faults, r)
 		faultRandom := rand.New(rand.NewPCG(r.Uint64(), 0))
 		d.Logf("%s %s", time.Now().UTC().Format("15:04:05.000"), next.name)
 		running.Go(func() {
-			if next.name == "store" {
+			if next.name == "store" || next.name == "store restored" {
 				storeMutex.Lock()
 				defer storeMutex.Unlock()
 			}
