--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -43,6 +43,18 @@
 // store could be restored, whose sequence of faults must stay the same.
 var faultsWithRestores = append(slices.Clone(faults), fault{"store restored", 4, restoreStore})
 
+// faultsAroundRestores leave the store undisturbed for long enough between two restores
+// that the versions in force are checked.
+var faultsAroundRestores = []fault{
+	{"balancer killed", 1, func(d *deployment, r *rand.Rand) { d.disturbBalancer(r, (*machine).killAndRestart) }},
+	{"balancer frozen", 1, func(d *deployment, r *rand.Rand) { d.disturbBalancer(r, (*machine).freeze) }},
+	{"agent killed", 1, func(d *deployment, r *rand.Rand) { d.disturbAgent(r, (*machine).killAndRestart) }},
+	{"server killed", 1, func(d *deployment, r *rand.Rand) { d.disturbAgent(r, (*machine).replaceServer) }},
+	{"store restored", 2, restoreStore},
+	{"configuration", 4, func(d *deployment, _ *rand.Rand) { d.writeConfiguration() }},
+	{"zone evacuated", 1, evacuateZone},
+}
+
 func pickFault(faults []fault, r *rand.Rand) *fault {
 	total := 0
 	for i := range faults {
@@ -162,11 +174,9 @@
 // restoreStore makes the store fail and come back from an older copy. The operators
 // write their keys again some time later.
 func restoreStore(d *deployment, r *rand.Rand) {
-	const copiesPerRestore = 3 // the copy is up to three times as old as other faults last
+	const minAge, maxAge = time.Second, 9 * time.Second // of the copy
 	d.store.Backup()
-	for range copiesPerRestore {
-		time.Sleep(randomDuration(r))
-	}
+	time.Sleep(minAge + time.Duration(r.Int64N(int64(maxAge-minAge))))
 	outage, untilRewrite := randomDuration(r)/2, randomDuration(r)/2
 	d.markStoreDisturbed(outage + untilRewrite)
 	d.store.SetFault(storeFaults[r.IntN(len(storeFaults))])
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -41,6 +41,14 @@
 	soak(t, *seedFlag, time.Duration(*minutesFlag*float64(time.Minute)), faultsWithRestores)
 }
 
+// TestSoakAroundRestores injects restores of the store, changes of the configuration and
+// few other faults.
+func TestSoakAroundRestores(t *testing.T) {
+	const minDuration = 12 * time.Second // about five restores
+	t.Parallel()
+	soak(t, *seedFlag, max(minDuration, time.Duration(*minutesFlag*float64(time.Minute))), faultsAroundRestores)
+}
+
 // regressions are seeds that have failed, with the cause of each failure.
 var regressions = []struct {
 	seed  uint64
