Ignore the withdrawal record of a copy in later lists too

The first list after a restore left the record out, but when the history was dropped soon after and the entries were listed once more, the record of the copy still stood there and took the agent for withdrawn. The watcher now remembers the revision of the first list of the era and believes only records that are newer.

--- a/direct/dependency.go
+++ b/direct/dependency.go
@@ -10,7 +10,7 @@
 type dependency struct {
 	telemetry *telemetry.Telemetry
 	name      string
-	// code is that of the last outcome. The zero value is none of a failed call.
+	// code is the result code of the last call, or OK before the first.
 	code bramleyfall.ResultCode
 }
 
--- a/directory/entries.go
+++ b/directory/entries.go
@@ -86,8 +86,10 @@
 	// revision is the store revision up to which all changes are known, or zero if
 	// the entries have to be listed.
 	revision bramleyfall.Revision
-	// era is the era of the last list.
-	era bramleyfall.Era
+	// era is the era of the last list, and restoredAt the revision of the first list
+	// after the last restore, or zero.
+	era        bramleyfall.Era
+	restoredAt bramleyfall.Revision
 	// startedAt is when the first list of the era was requested, and lastListAt when
 	// the last list or poll was requested. They are zero before.
 	startedAt, lastListAt time.Time
@@ -151,7 +153,7 @@
 // list reads all entries. The first list is completed from the history with the
 // agents whose entries were removed shortly before. The first list after a restore
 // of the store lacks the entries that were written since the copy, and no history
-// shows them. The withdrawal record of the copy may be older than such an entry.
+// shows them.
 func (w *EntryWatcher) list(ctx context.Context) error {
 	asOf := w.clock.Now()
 	pairs, revision, err := w.store.List(ctx, watchedPrefix)
@@ -166,11 +168,9 @@
 		w.checkpoints.reschedule(asOf)
 	}
 	if restored {
+		w.restoredAt = revision
 		w.handler.ListMayBeIncomplete(errRestored)
 	}
-	if restored {
-		pairs = slices.DeleteFunc(pairs, func(p bramleyfall.KeyValue) bool { return p.Key == withdrawnKey })
-	}
 	w.applyList(pairs)
 	if first {
 		w.reportRemovedEntries(ctx, revision)
@@ -331,8 +331,12 @@
 }
 
 // applyWithdrawal reports that an agent removed its entry, unless the entry has
-// been written again since.
+// been written again since. A restore may have undone that write, so a record that
+// may come from the copy is ignored.
 func (w *EntryWatcher) applyWithdrawal(pair bramleyfall.KeyValue) {
+	if bramleyfall.Revision(pair.ModRevision) <= w.restoredAt {
+		return
+	}
 	key := string(pair.Value)
 	if w.knownRevisions[key] < pair.ModRevision {
 		w.handler.EntryWithdrawn(instanceFromKey(key))
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -152,6 +152,9 @@
 		time.Sleep(2 * time.Second)
 		missingBefore, withdrawnBefore, _ := r.counts()
 		m.restore()
+		time.Sleep(100 * time.Millisecond)
+		m.putEntry(0)
+		m.update(func() { m.droppedUpTo = m.revision }) // the entries are listed again
 		time.Sleep(7 * time.Second) // longer than a watch
 		missing, withdrawn, _ := r.counts()
 		is.Equal(missing, missingBefore+1)
--- a/etcd/writer.go
+++ b/etcd/writer.go
@@ -49,8 +49,9 @@
 // Submit commits a change and returns it as accepted. It retries while concurrent
 // changes of other keys are committed first. If the error's code is NotAccepted,
 // LostRace (the key itself was changed concurrently), PlatformAway or
-// PlatformRolledBack, nothing was written; if it is Unknown, the write may have taken effect. Submit is idempotent: a
-// repeated call with the same ID never applies a change twice.
+// PlatformRolledBack, nothing was written; if it is Unknown, the write may have taken
+// effect. Submit is idempotent: a repeated call with the same ID never applies a change
+// twice.
 func (w *Writer) Submit(ctx context.Context, p Proposal) (bramleyfall.Change, error) {
 	first := true
 	var previousModRevision int64
