--- a/bramleyfall.go
+++ b/bramleyfall.go
@@ -109,7 +109,7 @@
 	// Await blocks until there are changes under prefix after the given revision
 	// and returns them with the revision from which to continue. It returns no
 	// changes if there are none within wait, and ErrHistoryLost if the store no
-	// longer retains the changes after that revision.
+	// longer retains the changes after that revision or has been restored since.
 	Await(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]KeyValue, Revision, error)
 	// Commit executes txn atomically and reports whether its conditions held.
 	// The error ErrUnknownOutcome means that the write may still take effect,
@@ -117,6 +117,7 @@
 	Commit(ctx context.Context, txn Txn) (bool, error)
 	// Grant creates a lease that expires after ttl unless it is renewed.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
-	// KeepAlive renews a lease. It returns ErrLeaseLost if the lease has ended.
+	// KeepAlive renews a lease. It returns ErrLeaseLost if the lease has ended or the
+	// store has been restored since it was granted.
 	KeepAlive(ctx context.Context, lease LeaseID) error
 }
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -155,7 +155,7 @@
 		time.Sleep(100 * time.Millisecond)
 		m.putEntry(0)
 		m.update(func() { m.droppedUpTo = m.revision }) // the entries are listed again
-		time.Sleep(7 * time.Second) // longer than a watch
+		time.Sleep(7 * time.Second)                     // longer than a watch
 		missing, withdrawn, _ := r.counts()
 		is.Equal(missing, missingBefore+1)
 		is.Equal(withdrawn, withdrawnBefore)
