--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// entryKey returns the key of the entry of agent n.
+// entryKey returns the key of an agent's entry, or "" if there is none.
 func (m *memoryStore) entryKey(id bramleyfall.InstanceID) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
