review: an agent restarted before its server's second heartbeat denies open flows

Cause: a first heartbeat with sequence 1 or 2 counts as proof that the server started with the agent, whatever its start time says. Change: case 2, a script with its stand-ins.

--- /dev/null
+++ b/review/stand/world.go
@@ -0,0 +1,397 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Settings of the deployment, as in a small site.
+const (
+	slots     = 2
+	heartbeat = 1200 * time.Millisecond
+	stable    = 4 * time.Second
+	// restartDelay is the delay after which a process that has ended is started again.
+	restartDelay = 500 * time.Millisecond
+	grace        = 6 * time.Second
+)
+
+// world is a deployment on loopback addresses.
+type world struct {
+	root, dir string
+	net       byte
+	ports     struct{ data, ready, control, outbound, app, inner, metrics, store int }
+	store     *store
+	started   time.Time
+	record    *os.File
+	machines  []*machine
+	trouble   bool
+
+	mu         sync.Mutex
+	runs       map[string]int
+	violations []string
+	inRotation map[*machine]bool
+	sent       int
+}
+
+// machine runs one process of the system, and on a side machine a server.
+type machine struct {
+	w                     *world
+	name, class, zone, ip string
+	service               string
+	server                *server
+	mu                    sync.Mutex
+	process               *exec.Cmd
+	ended                 chan struct{}
+	misses                int
+}
+
+func (m *machine) netIP() net.IP { return net.ParseIP(m.ip).To4() }
+
+func newWorld(root, out string, trouble bool) (*world, error) {
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	record, err := os.Create(filepath.Join(out, "record.txt"))
+	if err != nil {
+		return nil, err
+	}
+	w := &world{root: root, dir: dir, net: byte(20 + rand.IntN(200)), store: newStore(), started: time.Now(), record: record, trouble: trouble,
+		runs: map[string]int{}, inRotation: map[*machine]bool{}}
+	for _, p := range []*int{&w.ports.data, &w.ports.ready, &w.ports.control, &w.ports.outbound, &w.ports.app, &w.ports.inner, &w.ports.metrics, &w.ports.store} {
+		if *p, err = w.freePort(); err != nil {
+			return nil, err
+		}
+	}
+	go w.probe()
+	return w, nil
+}
+
+// freePort returns a port on which nothing listens.
+func (w *world) freePort() (int, error) {
+	l, err := net.Listen("tcp4", "0.0.0.0:0")
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port, nil
+}
+
+func (w *world) rec(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fmt.Fprintf(w.record, "%8.3f %s\n", time.Since(w.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (w *world) violation(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	w.rec("BROKEN %s", text)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.violations = append(w.violations, text)
+}
+
+// ran records that a server has begun to work on a request.
+func (w *world) ran(id string, s *server) {
+	w.mu.Lock()
+	w.runs[id]++
+	n := w.runs[id]
+	w.mu.Unlock()
+	w.rec("request %s runs at server %s", id, s.id)
+	if n > 1 {
+		w.violation("request %s ran %d times", id, n)
+	}
+}
+
+func (w *world) random() uint32 { return rand.Uint32() }
+
+func (w *world) addMachine(class, zone, service string) (*machine, error) {
+	n := 1
+	for _, m := range w.machines {
+		if m.class == class {
+			n++
+		}
+	}
+	third := map[string]int{"edge": 1, "side": 2}[class]
+	m := &machine{w: w, name: fmt.Sprintf("%s-%s-%d", class, zone, n), class: class, zone: zone, service: service,
+		ip: fmt.Sprintf("127.%d.%d.%d", w.net, third, n)}
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:%d", w.net, 10+third, n, w.ports.store))
+	if err != nil {
+		return nil, err
+	}
+	w.store.serve(m.name, l)
+	w.machines = append(w.machines, m)
+	return m, nil
+}
+
+// settings renders the project's template for the machine.
+func (m *machine) settings() (string, error) {
+	template := map[string]string{"edge": "deploy/balancer.conf", "side": "deploy/agent.conf"}[m.class]
+	text, err := os.ReadFile(filepath.Join(m.w.root, template))
+	if err != nil {
+		return "", err
+	}
+	p := m.w.ports
+	at := func(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
+	storeIP := strings.Replace(m.ip, fmt.Sprintf(".%d.%d.", m.w.net, map[string]int{"edge": 1, "side": 2}[m.class]),
+		fmt.Sprintf(".%d.%d.", m.w.net, map[string]int{"edge": 11, "side": 12}[m.class]), 1)
+	s := strings.NewReplacer(
+		"{{ip}}:9102", at(p.metrics),
+		"{{node_name}}", m.name, "{{zone}}", m.zone, "{{service}}", m.service, "{{ip}}", m.ip,
+		"{{listen_addrs.data_addr}}", at(p.data), "{{listen_addrs.readiness}}", at(p.ready),
+		"{{listen_addrs.outbound}}", at(p.outbound), "{{listen_addrs.control}}", at(p.control), "{{app}}", at(p.app),
+		"{{internal_ports.0}}", fmt.Sprint(p.inner), "{{heartbeat_ms}}", fmt.Sprint(heartbeat.Milliseconds()),
+		"{{platform.address}}", fmt.Sprintf("%s:%d", storeIP, p.store),
+	).Replace(string(text))
+	if strings.Contains(s, "{{") {
+		return "", fmt.Errorf("unknown placeholder in %s: %s", template, s)
+	}
+	return s, nil
+}
+
+// start starts the process of the machine with the command of the deploy file.
+func (m *machine) start() error {
+	settings, err := m.settings()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(m.w.dir, m.name+".conf")
+	if err := os.WriteFile(path, []byte(settings), 0o644); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(m.w.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	program := map[string]string{"edge": "target/balancer", "side": "target/agent"}[m.class]
+	cmd := exec.Command(filepath.Join(m.w.root, program), "direct")
+	cmd.Dir, cmd.Stdout, cmd.Stderr = m.w.root, log, log
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.w.dir, "LANG=C", "BRAMLEYFALL_SETTINGS=" + path}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	m.mu.Lock()
+	m.process, m.ended = cmd, ended
+	m.mu.Unlock()
+	m.w.rec("process of %s starts", m.name)
+	go func() {
+		_ = cmd.Wait()
+		log.Close()
+		m.w.rec("process of %s has ended: %s", m.name, cmd.ProcessState)
+		close(ended)
+	}()
+	return nil
+}
+
+func (m *machine) signal(s syscall.Signal) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.w.rec("process of %s gets %s", m.name, s)
+	_ = m.process.Process.Signal(s)
+}
+
+// term stops the process as the platform does.
+func (m *machine) term() {
+	m.signal(syscall.SIGTERM)
+	select {
+	case <-m.ended:
+	case <-time.After(grace):
+		m.signal(syscall.SIGKILL)
+		<-m.ended
+	}
+}
+
+// roll stops the process and starts it again.
+func (m *machine) roll() error {
+	m.term()
+	time.Sleep(restartDelay)
+	return m.start()
+}
+
+// probe checks the readiness of the edge nodes twice per second, as the routers do.
+func (w *world) probe() {
+	client := &http.Client{Timeout: 450 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	for range time.Tick(500 * time.Millisecond) {
+		w.mu.Lock()
+		machines := append([]*machine(nil), w.machines...)
+		w.mu.Unlock()
+		for _, m := range machines {
+			if m.class == "edge" {
+				go w.probeOne(client, m)
+			}
+		}
+	}
+}
+
+func (w *world) probeOne(client *http.Client, m *machine) {
+	r, err := client.Get(fmt.Sprintf("http://%s:%d/ready", m.ip, w.ports.ready))
+	ok := err == nil && r.StatusCode == 200
+	if err == nil {
+		r.Body.Close()
+	}
+	w.mu.Lock()
+	before := w.inRotation[m]
+	if ok {
+		m.misses, w.inRotation[m] = 0, true
+	} else if m.misses++; m.misses >= 2 {
+		w.inRotation[m] = false
+	}
+	after := w.inRotation[m]
+	w.mu.Unlock()
+	if before != after {
+		w.rec("routers: %s in rotation: %v", m.name, after)
+	}
+}
+
+// route sends a packet to the node that a steady hash of the flow selects.
+func (w *world) route(key flowKey, zone string, data []byte, from *net.UDPConn) {
+	if m := w.nodeFor(key, zone); m != nil {
+		_, _ = from.WriteToUDP(data, &net.UDPAddr{IP: m.netIP(), Port: w.ports.data})
+	}
+}
+
+func (w *world) nodeFor(key flowKey, zone string) *machine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	pick := func(all, anyZone bool) *machine {
+		var best *machine
+		var highest uint32
+		for _, m := range w.machines {
+			if m.class != "edge" || !all && !w.inRotation[m] || !anyZone && m.zone != zone {
+				continue
+			}
+			h := checksum(&packet{src: key.client, dst: key.route, data: []byte(m.name)})
+			h = h*2654435761 ^ h>>13
+			if best == nil || h > highest {
+				best, highest = m, h
+			}
+		}
+		return best
+	}
+	count := func(inRotation bool) int {
+		n := 0
+		for _, m := range w.machines {
+			if m.class == "edge" && m.zone == zone && (!inRotation || w.inRotation[m]) {
+				n++
+			}
+		}
+		return n
+	}
+	switch ready := count(true); {
+	case ready == 0:
+		if m := pick(false, true); m != nil {
+			return m
+		}
+		return pick(true, false)
+	case 2*ready < count(false):
+		return pick(true, false)
+	}
+	return pick(false, false)
+}
+
+// waitReady waits until all edge nodes are in rotation.
+func (w *world) waitReady(timeout time.Duration) error {
+	end := time.Now().Add(timeout)
+	for time.Now().Before(end) {
+		w.mu.Lock()
+		n, edges := 0, 0
+		for _, m := range w.machines {
+			if m.class == "edge" {
+				edges++
+				if w.inRotation[m] {
+					n++
+				}
+			}
+		}
+		w.mu.Unlock()
+		if n == edges {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return fmt.Errorf("the edge nodes are not ready")
+}
+
+// stop ends all processes that were started.
+func (w *world) stop() {
+	for _, m := range w.machines {
+		m.mu.Lock()
+		p, ended := m.process, m.ended
+		m.mu.Unlock()
+		if p != nil {
+			_ = p.Process.Signal(syscall.SIGCONT)
+			_ = p.Process.Kill()
+			<-ended
+		}
+	}
+	if os.Getenv("KEEP_LOGS") == "" {
+		_ = os.RemoveAll(w.dir)
+	} else {
+		fmt.Println("logs in", w.dir)
+	}
+	w.record.Sync()
+}
+
+// decisions returns the log lines of a machine that contain all of the given words.
+func (m *machine) decisions(words ...string) []string {
+	b, _ := os.ReadFile(filepath.Join(m.w.dir, m.name+".log"))
+	var found []string
+	for _, line := range strings.Split(string(b), "\n") {
+		match := line != ""
+		for _, word := range words {
+			match = match && strings.Contains(line, word)
+		}
+		if match {
+			found = append(found, line)
+		}
+	}
+	sort.Strings(found)
+	return found
+}
+
+// route is a route of the operator's configuration.
+type routeConfig struct {
+	host    string
+	port    int
+	service string
+	kind    string
+}
+
+// configure writes a version of the configuration.
+func (w *world) configure(version int, coldPerS float64, routes ...routeConfig) {
+	list, services, seen := []map[string]any{}, []map[string]any{}, map[string]bool{}
+	for i, r := range routes {
+		list = append(list, map[string]any{"name": fmt.Sprintf("r-%d", i), "host": r.host, "prefix": fmt.Sprintf("/%d/", r.port), "type": r.kind,
+			"timeout_ms": 2000, "target_latency_ms": 150, "priority": 1, "service": r.service, "attempts": 2})
+	}
+	for _, m := range w.machines {
+		if m.service != "" && !seen[m.service] {
+			seen[m.service] = true
+			services = append(services, map[string]any{"name": m.service, "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": false,
+				"cold_s": 2.0, "cold_per_s": coldPerS})
+		}
+	}
+	w.store.operatorPut("op/config", map[string]any{"version": version, "routes": list, "services": services,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+	w.rec("the operator's version %d is acknowledged: %v", version, routes)
+}
+
+func (w *world) routeAddr(r routeConfig) addr {
+	return addr{[4]byte(net.ParseIP(r.host).To4()), uint16(r.port)}
+}
+
+func (r routeConfig) String() string {
+	return fmt.Sprintf("%s:%d to %s (%s)", r.host, r.port, r.service, r.kind)
+}
