review: a restarted agent admits without limit to a cold server while the store is down

Cause: until its first read of the configuration has timed out, a new agent process knows no cold rate and takes that to mean no limit.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -95,6 +95,7 @@
 	c.flows[c.port] = f
 	c.mu.Unlock()
 	f.next = f.isn + 1
+	c.w.noteOpening(f.key)
 	start := time.Now()
 	for n, at := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond} {
 		for {
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -24,6 +24,7 @@
 	conn    *net.UDPConn
 	cancel  context.CancelFunc
 	work    time.Duration
+	slots   chan struct{}
 	service string
 
 	mu       sync.Mutex
@@ -31,11 +32,32 @@
 	state    string
 	coldTill time.Time
 	flows    map[flowKey]*serverFlow
-	// taken holds when each opening was taken, opened when each flow was opened.
-	taken []time.Time
+	// taken holds the openings that the server took.
+	taken []opening
 	dead  bool
 }
 
+// opening is when a client sent an opening and when a server took it.
+type opening struct{ sent, taken time.Time }
+
+// busiestSecond returns the largest number of openings that were sent to the server and
+// taken within one second while it was cold.
+func (s *server) busiestSecond() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 0
+	for _, first := range s.taken {
+		n := 0
+		for _, o := range s.taken {
+			if !o.sent.Before(first.sent) && o.taken.Sub(first.sent) < time.Second && o.taken.Before(s.coldTill) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 type flowKey struct{ client, route addr }
 
 type serverFlow struct {
@@ -52,7 +74,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &server{w: w, m: m, id: id, born: time.Now(), conn: conn, cancel: cancel, work: work, service: m.service,
-		state: "ready", coldTill: time.Now().Add(cold), flows: map[flowKey]*serverFlow{}}
+		state: "ready", coldTill: time.Now().Add(cold), slots: make(chan struct{}, slots), flows: map[flowKey]*serverFlow{}}
 	m.server = s
 	w.rec("server %s starts on %s", id, m.name)
 	go s.read()
@@ -146,7 +168,7 @@
 			f = &serverFlow{callerISN: p.seq, ownISN: s.w.random(), recvNext: p.seq + 1}
 			f.sendNext, f.acked = f.ownISN+1, f.ownISN+1
 			s.flows[key] = f
-			s.taken = append(s.taken, time.Now())
+			s.taken = append(s.taken, opening{s.w.sentAt(key), time.Now()})
 			s.w.rec("server %s takes the opening %s", s.id, key)
 		}
 		s.send(&packet{seq: f.ownISN, ack: f.recvNext, flags: flagSYN | flagACK, src: p.dst, dst: p.src})
@@ -215,7 +237,13 @@
 
 // run works on a request, answers it, and repeats the answer until it is acknowledged.
 func (s *server) run(key flowKey, f *serverFlow, id string) {
-	time.Sleep(s.work)
+	s.slots <- struct{}{}
+	work := s.work
+	if time.Now().Before(s.coldTill) {
+		work = work * 8 / 5
+	}
+	time.Sleep(work)
+	<-s.slots
 	body := "done " + id
 	data := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Bramleyfall-Response-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 	s.mu.Lock()
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"sort"
@@ -21,10 +24,10 @@
 	leases  map[int64]*lease
 	next    int64
 	changed chan struct{}
-	// busy holds the machines to which the store answers 503, silent those that it
-	// does not answer.
-	busy, silent map[string]bool
-	released     chan struct{}
+	// busy holds the machines to which the store answers 503.
+	busy map[string]bool
+	// silent is set while the store is down and answers nobody.
+	silent bool
 }
 
 type item struct {
@@ -43,7 +46,7 @@
 
 func newStore() *store {
 	s := &store{rev: 1, items: map[string]item{}, leases: map[int64]*lease{}, next: 70000, changed: make(chan struct{}),
-		busy: map[string]bool{}, silent: map[string]bool{}, released: make(chan struct{})}
+		busy: map[string]bool{}}
 	go s.expireLeases()
 	return s
 }
@@ -106,12 +109,42 @@
 	return s.busy[machine]
 }
 
+// setSilent makes the store answer no call, or serve again. Leases pause meanwhile.
+func (s *store) setSilent(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = on
+	s.notify()
+}
+
+// waitUntilUp waits until the store is up. It reports false if it was down: a call that
+// arrived meanwhile gets no answer.
+func (s *store) waitUntilUp(ctx context.Context) bool {
+	up := true
+	for {
+		s.mu.Lock()
+		silent, changed := s.silent, s.changed
+		s.mu.Unlock()
+		if !silent {
+			return up
+		}
+		up = false
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 func (s *store) expireLeases() {
 	for range time.Tick(50 * time.Millisecond) {
 		s.mu.Lock()
 		now := time.Now()
 		for id, l := range s.leases {
-			if now.After(l.end) {
+			if s.silent {
+				l.end = l.end.Add(50 * time.Millisecond)
+			} else if now.After(l.end) {
 				s.endLease(id)
 			}
 		}
@@ -154,10 +187,13 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if !s.waitUntilUp(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
 		time.Sleep(4 * time.Millisecond)
 		mux.ServeHTTP(w, r)
 	})
-	go (&http.Server{Handler: handler}).Serve(l)
+	go (&http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)}).Serve(l)
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
@@ -202,7 +238,12 @@
 			}
 		}
 		rev, changed, away := s.rev, s.changed, s.busy[machine]
+		silent := s.silent
 		s.mu.Unlock()
+		if silent {
+			s.waitUntilUp(r.Context())
+			panic(http.ErrAbortHandler)
+		}
 		if away {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -40,7 +40,7 @@
 	runs       map[string]int
 	violations []string
 	inRotation map[*machine]bool
-	sent       int
+	openings   map[flowKey]time.Time
 }
 
 // machine runs one process of the system, and on a side machine a server.
@@ -67,7 +67,7 @@
 		return nil, err
 	}
 	w := &world{root: root, dir: dir, net: byte(20 + rand.IntN(200)), store: newStore(), started: time.Now(), record: record, trouble: trouble,
-		runs: map[string]int{}, inRotation: map[*machine]bool{}}
+		runs: map[string]int{}, openings: map[flowKey]time.Time{}, inRotation: map[*machine]bool{}}
 	for _, p := range []*int{&w.ports.data, &w.ports.ready, &w.ports.control, &w.ports.outbound, &w.ports.app, &w.ports.inner, &w.ports.metrics, &w.ports.store} {
 		if *p, err = w.freePort(); err != nil {
 			return nil, err
@@ -255,6 +255,19 @@
 	}
 }
 
+// sentAt returns when a client first sent the opening of a flow.
+func (w *world) sentAt(key flowKey) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.openings[key]
+}
+
+func (w *world) noteOpening(key flowKey) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.openings[key] = time.Now()
+}
+
 // route sends a packet to the node that a steady hash of the flow selects.
 func (w *world) route(key flowKey, zone string, data []byte, from *net.UDPConn) {
 	if m := w.nodeFor(key, zone); m != nil {
