review: upstreams on trial never serve again when all routes are unsafe

Cause: only an answer ends a trial, and no opening of an unsafe route is admitted on trial, not even when all upstreams have refused it for that reason.

--- a/review/stand/case_common.go
+++ b/review/stand/case_common.go
@@ -1,6 +1,9 @@
 package main
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // deploy adds the machines of a small deployment and starts their processes, and then
 // their servers. Every zone has one edge machine.
@@ -37,3 +40,30 @@
 	}
 	return nil
 }
+
+// orders sends requests, each on a flow of its own.
+type orders struct {
+	w     *world
+	c     *client
+	pause time.Duration
+	n     int
+}
+
+// play sends requests for a time. It returns how many were answered.
+func (o *orders) play(r routeConfig, length time.Duration) (good, all int) {
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(o.pause) {
+		o.n++
+		all++
+		id := fmt.Sprintf("o-%d", o.n)
+		f, result := o.c.dial(o.w.routeAddr(r))
+		if result == answered {
+			result = f.request(id, 2*time.Second)
+			f.close()
+		}
+		o.w.rec("request %s to %s: %s", id, r, result)
+		if result == answered {
+			good++
+		}
+	}
+	return good, all
+}
--- a/review/stand/case_quiet_agents.go
+++ b/review/stand/case_quiet_agents.go
@@ -10,7 +10,7 @@
 func quietAgents(w *world) error {
 	old := routeConfig{fmt.Sprintf("127.%d.8.1", w.net), 8443, "dispatch", "unsafe"}
 	added := routeConfig{fmt.Sprintf("127.%d.8.1", w.net), 8080, "dispatch", "unsafe"}
-	edges, sides, err := w.deploy([]string{"kochi", "kollam"}, []string{"kochi", "kollam", "kollam"}, "dispatch")
+	_, sides, err := w.deploy([]string{"kochi", "kollam"}, []string{"kochi", "kollam", "kollam"}, "dispatch")
 	if err != nil {
 		return err
 	}
@@ -26,28 +26,8 @@
 	if err != nil {
 		return err
 	}
-	n := 0
-	order := func(r routeConfig) outcome {
-		n++
-		id := fmt.Sprintf("o-%d", n)
-		f, o := c.dial(w.routeAddr(r))
-		if o == answered {
-			o = f.request(id, 2*time.Second)
-			f.close()
-		}
-		w.rec("request %s to %s: %s", id, r, o)
-		return o
-	}
-	// An order every 400 ms, each on a flow of its own.
-	orders := func(r routeConfig, length time.Duration) (good, all int) {
-		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(400 * time.Millisecond) {
-			if all++; order(r) == answered {
-				good++
-			}
-		}
-		return good, all
-	}
-	if good, all := orders(old, 4*time.Second); good != all {
+	o := &orders{w: w, c: c, pause: 400 * time.Millisecond}
+	if good, all := o.play(old, 4*time.Second); good != all {
 		return fmt.Errorf("%d of %d requests were answered before the disruption", good, all)
 	}
 	if w.trouble {
@@ -57,21 +37,20 @@
 				time.Sleep(200 * time.Millisecond) // between two orders
 				done <- m.roll()
 			}()
-			orders(old, 3*time.Second)
+			o.play(old, 3*time.Second)
 			if err := <-done; err != nil {
 				return err
 			}
 		}
 	}
-	good, all := orders(old, 6*time.Second)
+	good, all := o.play(old, 6*time.Second)
 	w.rec("after the restarts %d of %d requests on the old route were answered", good, all)
 	w.configure(8, 0, old, added)
 	time.Sleep(5 * time.Second) // config_apply_ms is 3 s
-	good, all = orders(added, 25*time.Second)
+	good, all = o.play(added, 25*time.Second)
 	w.rec("%d of %d requests on the added route were answered", good, all)
-	goodOld, allOld := orders(old, 5*time.Second)
+	goodOld, allOld := o.play(old, 5*time.Second)
 	w.rec("%d of %d requests on the old route were answered", goodOld, allOld)
-	_ = edges
 	if good < all {
 		w.violation("CONFIG: %d of %d openings on the added route were refused or not answered, 5 s and more after its version was acknowledged, while all servers are ready", all-good, all)
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -14,7 +14,9 @@
 
 var cases = map[string]func(*world) error{
 	"quiet-agents": quietAgents,
+	"cold-server":  coldServer,
 	"new-server":   newServer,
+	"trial":        trial,
 }
 
 func main() {
