--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -13,10 +13,11 @@
 )
 
 var cases = map[string]func(*world) error{
-	"quiet-agents": quietAgents,
-	"cold-server":  coldServer,
-	"new-server":   newServer,
-	"trial":        trial,
+	"quiet-agents":  quietAgents,
+	"cold-server":   coldServer,
+	"new-server":    newServer,
+	"trial":         trial,
+	"wrong-service": wrongService,
 }
 
 func main() {
