--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -68,10 +68,15 @@
 	}
 	w := &world{root: root, dir: dir, net: byte(20 + rand.IntN(200)), store: newStore(), started: time.Now(), record: record, trouble: trouble,
 		runs: map[string]int{}, openings: map[flowKey]time.Time{}, inRotation: map[*machine]bool{}}
+	taken := map[int]bool{}
 	for _, p := range []*int{&w.ports.data, &w.ports.ready, &w.ports.control, &w.ports.outbound, &w.ports.app, &w.ports.inner, &w.ports.metrics, &w.ports.store} {
-		if *p, err = w.freePort(); err != nil {
-			return nil, err
+		for used := true; used; {
+			if *p, err = w.freePort(); err != nil {
+				return nil, err
+			}
+			used = taken[*p]
 		}
+		taken[*p] = true
 	}
 	go w.probe()
 	return w, nil
