review: keep the platform's names in a package of their own

Cause: TestNamesOfThePlatformStayInItsFolder failed, as the stand-ins used the names of the platform's API everywhere. Change: review/stand/platform holds the store and all such names.

--- a/review/stand/case_cold_server.go
+++ b/review/stand/case_cold_server.go
@@ -6,6 +6,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"bramleyfall.example/review/stand/platform"
 )
 
 // coldServer lets a side machine lose power and return with a cold server while the
@@ -16,7 +18,7 @@
 		bound    = coldPerS*1.5 + 5
 		rate     = 170 // openings a second for three servers
 	)
-	r := routeConfig{fmt.Sprintf("127.%d.8.1", w.net), 8443, "dispatch", "unsafe"}
+	r := platform.Route{Host: fmt.Sprintf("127.%d.8.1", w.net), Port: 8443, Service: "dispatch", Kind: "unsafe"}
 	_, sides, err := w.deploy([]string{"kochi", "kollam"}, []string{"kochi", "kochi", "kochi"}, "dispatch")
 	if err != nil {
 		return err
@@ -43,7 +45,7 @@
 			case <-time.After(time.Second / rate):
 			}
 			load.Go(func() {
-				f, o := c.dial(w.routeAddr(r))
+				f, o := c.dial(routeAddr(r))
 				if o == answered {
 					o = f.request(fmt.Sprintf("o-%d", n), 2*time.Second)
 					f.close()
@@ -56,7 +58,7 @@
 	m := sides[2]
 	if w.trouble {
 		if os.Getenv("STORE") != "up" {
-			w.store.setSilent(true)
+			w.store.SetSilent(true)
 			w.rec("the store is silent")
 		}
 		time.Sleep(500 * time.Millisecond)
@@ -73,7 +75,7 @@
 			return err
 		}
 		time.Sleep(2400 * time.Millisecond)
-		w.store.setSilent(false)
+		w.store.SetSilent(false)
 		w.rec("the store answers again")
 	} else {
 		time.Sleep(4500 * time.Millisecond)
--- a/review/stand/case_common.go
+++ b/review/stand/case_common.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"bramleyfall.example/review/stand/platform"
 )
 
 // deploy adds the machines of a small deployment and starts their processes, and then
@@ -52,12 +54,12 @@
 }
 
 // play sends requests for a time. It returns how many were answered.
-func (o *orders) play(r routeConfig, length time.Duration) (good, all int) {
+func (o *orders) play(r platform.Route, length time.Duration) (good, all int) {
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(o.pause) {
 		o.n++
 		all++
 		id := fmt.Sprintf("o-%d", o.n)
-		f, result := o.c.dial(o.w.routeAddr(r))
+		f, result := o.c.dial(routeAddr(r))
 		if result == wasReset {
 			o.refused++
 		}
--- a/review/stand/case_new_server.go
+++ b/review/stand/case_new_server.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"bramleyfall.example/review/stand/platform"
 )
 
 // newServer adds a server with its machine, opens a flow at it, and restarts its agent
 // by SIGTERM before the server's second heartbeat.
 func newServer(w *world) error {
-	r := routeConfig{fmt.Sprintf("127.%d.8.1", w.net), 8443, "dispatch", "unsafe"}
+	r := platform.Route{Host: fmt.Sprintf("127.%d.8.1", w.net), Port: 8443, Service: "dispatch", Kind: "unsafe"}
 	_, sides, err := w.deploy([]string{"kochi", "kochi"}, []string{"kochi", "kochi"}, "dispatch")
 	if err != nil {
 		return err
@@ -42,7 +44,7 @@
 	var wg sync.WaitGroup
 	for n := range flows {
 		wg.Go(func() {
-			f, o := c.dial(w.routeAddr(r))
+			f, o := c.dial(routeAddr(r))
 			if o != answered {
 				return
 			}
--- a/review/stand/case_orders.go
+++ b/review/stand/case_orders.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"syscall"
 	"time"
+
+	"bramleyfall.example/review/stand/platform"
 )
 
 const (
@@ -15,14 +17,14 @@
 type orderDeployment struct {
 	w          *world
 	sides      []*machine
-	old, added routeConfig
+	old, added platform.Route
 	orders     *orders
 }
 
 // deployOrders starts two edge machines and three servers, and sends the first orders.
 func (w *world) deployOrders(pause time.Duration) (*orderDeployment, error) {
 	host := fmt.Sprintf("127.%d.8.1", w.net)
-	d := &orderDeployment{w: w, old: routeConfig{host, 8443, "dispatch", "unsafe"}, added: routeConfig{host, 8080, "dispatch", "unsafe"}}
+	d := &orderDeployment{w: w, old: platform.Route{Host: host, Port: 8443, Service: "dispatch", Kind: "unsafe"}, added: platform.Route{Host: host, Port: 8080, Service: "dispatch", Kind: "unsafe"}}
 	var err error
 	if _, d.sides, err = w.deploy([]string{"kochi", "kollam"}, []string{"kochi", "kollam", "kollam"}, "dispatch"); err != nil {
 		return nil, err
--- a/review/stand/case_wrong_service.go
+++ b/review/stand/case_wrong_service.go
@@ -11,14 +11,14 @@
 	}
 	edge := w.machines[0]
 	if w.trouble {
-		w.store.turnAway(edge.name, true)
+		w.store.TurnAway(edge.name, true)
 		time.Sleep(time.Second)
 	}
 	w.configure(8, 0, d.added)
 	time.Sleep(20 * time.Millisecond)
 	d.orders.play(d.old, 1500*time.Millisecond)
 	time.Sleep(3 * time.Second)
-	w.store.turnAway(edge.name, false)
+	w.store.TurnAway(edge.name, false)
 	time.Sleep(stable + time.Second)
 	d.orders.refused = 0
 	good, all := d.orders.play(d.added, 20*time.Second)
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -9,7 +9,7 @@
 )
 
 // client is a stand-in for a client machine. Packets for it arrive at its address, at
-// the port of data_addr.
+// the port on which edge nodes receive packets.
 type client struct {
 	w    *world
 	ip   [4]byte
--- a/review/stand/store.go
+++ b/review/stand/platform/store.go
@@ -1,4 +1,5 @@
-package main
+// Package platform holds stand-ins for the users' platform and the names of its API.
+package platform
 
 import (
 	"context"
@@ -14,9 +15,9 @@
 	"time"
 )
 
-// store is a stand-in for the platform's metadata store. Each machine calls it at an
+// Store is a stand-in for the platform's metadata store. Each machine calls it at an
 // address of its own, so that the store can turn single machines away.
-type store struct {
+type Store struct {
 	mu      sync.Mutex
 	rev     uint64
 	items   map[string]item
@@ -44,20 +45,21 @@
 	end time.Time
 }
 
-func newStore() *store {
-	s := &store{rev: 1, items: map[string]item{}, leases: map[int64]*lease{}, next: 70000, changed: make(chan struct{}),
+// NewStore returns an empty store that is up.
+func NewStore() *Store {
+	s := &Store{rev: 1, items: map[string]item{}, leases: map[int64]*lease{}, next: 70000, changed: make(chan struct{}),
 		busy: map[string]bool{}}
 	go s.expireLeases()
 	return s
 }
 
-func (s *store) notify() {
+func (s *Store) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
 // set writes a key at a new revision. The caller holds mu.
-func (s *store) set(key string, value []byte, leaseID int64, rev uint64) {
+func (s *Store) set(key string, value []byte, leaseID int64, rev uint64) {
 	it := item{Key: key, Value: value, Rev: rev, Created: rev, Lease: leaseID}
 	if old, ok := s.items[key]; ok {
 		it.Created = old.Created
@@ -66,15 +68,15 @@
 	s.history = append(s.history, it)
 }
 
-func (s *store) remove(key string, rev uint64) {
+func (s *Store) remove(key string, rev uint64) {
 	if _, ok := s.items[key]; ok {
 		delete(s.items, key)
 		s.history = append(s.history, item{Key: key, Rev: rev, Deleted: true})
 	}
 }
 
-// operatorPut writes a key as the operator.
-func (s *store) operatorPut(key string, value any) {
+// OperatorPut writes a key as the operator.
+func (s *Store) OperatorPut(key string, value any) {
 	b, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
@@ -86,8 +88,8 @@
 	s.notify()
 }
 
-// operatorDelete removes a key as the operator.
-func (s *store) operatorDelete(key string) {
+// OperatorDelete removes a key as the operator.
+func (s *Store) OperatorDelete(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rev++
@@ -95,22 +97,22 @@
 	s.notify()
 }
 
-// turnAway makes the store answer 503 to a machine, or serve it again.
-func (s *store) turnAway(machine string, on bool) {
+// TurnAway makes the store answer 503 to a machine, or serve it again.
+func (s *Store) TurnAway(machine string, on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy[machine] = on
 	s.notify() // cuts the watches of the machine
 }
 
-func (s *store) turnedAway(machine string) bool {
+func (s *Store) turnedAway(machine string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.busy[machine]
 }
 
-// setSilent makes the store answer no call, or serve again. Leases pause meanwhile.
-func (s *store) setSilent(on bool) {
+// SetSilent makes the store answer no call, or serve again. Leases pause meanwhile.
+func (s *Store) SetSilent(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.silent = on
@@ -119,7 +121,7 @@
 
 // waitUntilUp waits until the store is up. It reports false if it was down: a call that
 // arrived meanwhile gets no answer.
-func (s *store) waitUntilUp(ctx context.Context) bool {
+func (s *Store) waitUntilUp(ctx context.Context) bool {
 	up := true
 	for {
 		s.mu.Lock()
@@ -137,7 +139,7 @@
 	}
 }
 
-func (s *store) expireLeases() {
+func (s *Store) expireLeases() {
 	for range time.Tick(50 * time.Millisecond) {
 		s.mu.Lock()
 		now := time.Now()
@@ -152,7 +154,7 @@
 	}
 }
 
-func (s *store) endLease(id int64) {
+func (s *Store) endLease(id int64) {
 	delete(s.leases, id)
 	var keys []string
 	for key, it := range s.items {
@@ -170,8 +172,8 @@
 	s.notify()
 }
 
-// serve answers the calls of one machine on a listener.
-func (s *store) serve(machine string, l net.Listener) {
+// Serve answers the calls of one machine on a listener.
+func (s *Store) Serve(machine string, l net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.list)
 	mux.HandleFunc("GET /kv-key", s.get)
@@ -201,7 +203,7 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func (s *store) list(w http.ResponseWriter, r *http.Request) {
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	items := []item{}
@@ -214,7 +216,7 @@
 	reply(w, 200, map[string]any{"items": items, "has_more": false, "current_rev": s.rev})
 }
 
-func (s *store) get(w http.ResponseWriter, r *http.Request) {
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	it, ok := s.items[r.URL.Query().Get("key")]
@@ -225,7 +227,7 @@
 	reply(w, 200, it)
 }
 
-func (s *store) watch(machine string, w http.ResponseWriter, r *http.Request) {
+func (s *Store) watch(machine string, w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
@@ -263,7 +265,7 @@
 	}
 }
 
-func (s *store) txn(w http.ResponseWriter, r *http.Request) {
+func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
 	var t struct {
 		Precondition []struct {
 			Key string `json:"key"`
@@ -305,7 +307,7 @@
 	reply(w, 200, map[string]any{"rev": s.rev})
 }
 
-func (s *store) grant(w http.ResponseWriter, r *http.Request) {
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
 	var t struct {
 		TTL int64 `json:"ttl_ms"`
 	}
@@ -318,7 +320,7 @@
 	reply(w, 200, map[string]any{"lease": s.next, "ttl_ms": t.TTL})
 }
 
-func (s *store) keep(w http.ResponseWriter, r *http.Request) {
+func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
 	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -331,7 +333,7 @@
 	reply(w, 200, map[string]any{"ttl_ms": l.ttl.Milliseconds()})
 }
 
-func (s *store) end(w http.ResponseWriter, r *http.Request) {
+func (s *Store) end(w http.ResponseWriter, r *http.Request) {
 	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"bramleyfall.example/review/stand/platform"
 )
 
 // server is a stand-in for an application server beside an agent. It keeps flows,
@@ -97,21 +98,19 @@
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		s.seq++
-		cold := max(0, time.Until(s.coldTill).Milliseconds())
-		body, _ := json.Marshal(map[string]any{
-			"service": s.service, "address": fmt.Sprintf("%s:%d", s.m.ip, s.w.ports.app), "zone": s.m.zone, "version": "v1", "slots": slots,
-			"state": s.state, "cold_remaining_ms": cold, "sequence": s.seq, "born": s.born.UnixMilli(),
-		})
+		cold := max(0, time.Until(s.coldTill))
+		h := platform.Heartbeat{Service: s.service, Address: fmt.Sprintf("%s:%d", s.m.ip, s.w.ports.app), Zone: s.m.zone, Slots: slots,
+			State: s.state, Cold: cold, Sequence: s.seq, Born: s.born}
 		seq, state := s.seq, s.state
 		s.mu.Unlock()
-		r, err := client.Post(fmt.Sprintf("http://%s:%d/Instances.Heartbeat/%s", s.m.ip, s.w.ports.control, s.id), "application/json", bytes.NewReader(body))
+		r, err := client.Post(platform.HeartbeatURL(s.m.ip, s.w.ports.control, s.id), "application/json", bytes.NewReader(h.Body()))
 		status := "no answer"
 		if err == nil {
 			io.Copy(io.Discard, r.Body)
 			r.Body.Close()
 			status = r.Status
 		}
-		s.w.rec("server %s heartbeat %d (%s, cold %d ms): %s", s.id, seq, state, cold, status)
+		s.w.rec("server %s heartbeat %d (%s, cold %d ms): %s", s.id, seq, state, cold.Milliseconds(), status)
 		select {
 		case <-ctx.Done():
 		case <-time.After(heartbeat):
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -8,11 +8,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sort"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"bramleyfall.example/review/stand/platform"
 )
 
 // Settings of the deployment, as in a small site.
@@ -30,7 +32,7 @@
 	root, dir string
 	net       byte
 	ports     struct{ data, ready, control, outbound, app, inner, metrics, store int }
-	store     *store
+	store     *platform.Store
 	started   time.Time
 	record    *os.File
 	machines  []*machine
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{root: root, dir: dir, net: byte(20 + rand.IntN(200)), store: newStore(), started: time.Now(), record: record, trouble: trouble,
+	w := &world{root: root, dir: dir, net: byte(20 + rand.IntN(200)), store: platform.NewStore(), started: time.Now(), record: record, trouble: trouble,
 		runs: map[string]int{}, openings: map[flowKey]time.Time{}, inRotation: map[*machine]bool{}}
 	taken := map[int]bool{}
 	for _, p := range []*int{&w.ports.data, &w.ports.ready, &w.ports.control, &w.ports.outbound, &w.ports.app, &w.ports.inner, &w.ports.metrics, &w.ports.store} {
@@ -134,7 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w.store.serve(m.name, l)
+	w.store.Serve(m.name, l)
 	w.machines = append(w.machines, m)
 	return m, nil
 }
@@ -147,21 +149,14 @@
 		return "", err
 	}
 	p := m.w.ports
-	at := func(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
-	storeIP := strings.Replace(m.ip, fmt.Sprintf(".%d.%d.", m.w.net, map[string]int{"edge": 1, "side": 2}[m.class]),
-		fmt.Sprintf(".%d.%d.", m.w.net, map[string]int{"edge": 11, "side": 12}[m.class]), 1)
-	s := strings.NewReplacer(
-		"{{ip}}:9102", at(p.metrics),
-		"{{node_name}}", m.name, "{{zone}}", m.zone, "{{service}}", m.service, "{{ip}}", m.ip,
-		"{{listen_addrs.data_addr}}", at(p.data), "{{listen_addrs.readiness}}", at(p.ready),
-		"{{listen_addrs.outbound}}", at(p.outbound), "{{listen_addrs.control}}", at(p.control), "{{app}}", at(p.app),
-		"{{internal_ports.0}}", fmt.Sprint(p.inner), "{{heartbeat_ms}}", fmt.Sprint(heartbeat.Milliseconds()),
-		"{{platform.address}}", fmt.Sprintf("%s:%d", storeIP, p.store),
-	).Replace(string(text))
-	if strings.Contains(s, "{{") {
-		return "", fmt.Errorf("unknown placeholder in %s: %s", template, s)
+	third := map[string]int{"edge": 1, "side": 2}[m.class]
+	storeIP := strings.Replace(m.ip, fmt.Sprintf(".%d.%d.", m.w.net, third), fmt.Sprintf(".%d.%d.", m.w.net, 10+third), 1)
+	values := platform.Settings{
+		Name: m.name, Zone: m.zone, Service: m.service, IP: m.ip, Store: fmt.Sprintf("%s:%d", storeIP, p.store),
+		Data: p.data, Ready: p.ready, Outbound: p.outbound, Control: p.control, App: p.app, Inner: p.inner, Metrics: p.metrics,
+		Heartbeat: int(heartbeat.Milliseconds()),
 	}
-	return s, nil
+	return values.Render(string(text))
 }
 
 // start starts the process of the machine with the command of the deploy file.
@@ -362,54 +357,19 @@
 	w.record.Sync()
 }
 
-// decisions returns the log lines of a machine that contain all of the given words.
-func (m *machine) decisions(words ...string) []string {
-	b, _ := os.ReadFile(filepath.Join(m.w.dir, m.name+".log"))
-	var found []string
-	for _, line := range strings.Split(string(b), "\n") {
-		match := line != ""
-		for _, word := range words {
-			match = match && strings.Contains(line, word)
-		}
-		if match {
-			found = append(found, line)
-		}
-	}
-	sort.Strings(found)
-	return found
-}
-
-// route is a route of the operator's configuration.
-type routeConfig struct {
-	host    string
-	port    int
-	service string
-	kind    string
-}
-
-// configure writes a version of the configuration.
-func (w *world) configure(version int, coldPerS float64, routes ...routeConfig) {
-	list, services, seen := []map[string]any{}, []map[string]any{}, map[string]bool{}
-	for i, r := range routes {
-		list = append(list, map[string]any{"name": fmt.Sprintf("r-%d", i), "host": r.host, "prefix": fmt.Sprintf("/%d/", r.port), "type": r.kind,
-			"timeout_ms": 2000, "target_latency_ms": 150, "priority": 1, "service": r.service, "attempts": 2})
-	}
+// configure writes a version of the operator's configuration.
+func (w *world) configure(version int, coldPerS float64, routes ...platform.Route) {
+	var services []string
 	for _, m := range w.machines {
-		if m.service != "" && !seen[m.service] {
-			seen[m.service] = true
-			services = append(services, map[string]any{"name": m.service, "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": false,
-				"cold_s": 2.0, "cold_per_s": coldPerS})
+		if m.service != "" && !slices.Contains(services, m.service) {
+			services = append(services, m.service)
 		}
 	}
-	w.store.operatorPut("op/config", map[string]any{"version": version, "routes": list, "services": services,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+	w.store.OperatorPut(platform.ConfigKey, platform.Configuration(version, coldPerS, services, routes))
 	w.rec("the operator's version %d is acknowledged: %v", version, routes)
 }
 
-func (w *world) routeAddr(r routeConfig) addr {
-	return addr{[4]byte(net.ParseIP(r.host).To4()), uint16(r.port)}
-}
-
-func (r routeConfig) String() string {
-	return fmt.Sprintf("%s:%d to %s (%s)", r.host, r.port, r.service, r.kind)
+// routeAddr returns the address to which clients open flows of a route.
+func routeAddr(r platform.Route) addr {
+	return addr{[4]byte(net.ParseIP(r.Host).To4()), uint16(r.Port)}
 }
