review: keep the scripts inside the site's shares, and judge only the named rule

Cause: case 1 added one server to two, case 4 crashed one server of three, and case 5 took the power of one machine where the site has a zone; the store was silent some milliseconds too long; CONFIG was judged by a reading of a refusal.

--- a/review/stand/case_cold_server.go
+++ b/review/stand/case_cold_server.go
@@ -10,8 +10,8 @@
 	"bramleyfall.example/review/stand/platform"
 )
 
-// coldServer lets a side machine lose power and return with a cold server while the
-// store is down.
+// coldServer lets a zone with one edge and one side machine lose power, and return with
+// a cold server, while the store is down.
 func coldServer(w *world) error {
 	const (
 		coldPerS = 8
@@ -19,7 +19,7 @@
 		rate     = 170 // openings a second for three servers
 	)
 	r := platform.Route{Host: fmt.Sprintf("127.%d.8.1", w.net), Port: 8443, Service: "dispatch", Kind: "unsafe"}
-	_, sides, err := w.deploy([]string{"kochi", "kollam"}, []string{"kochi", "kochi", "kochi"}, "dispatch")
+	edges, sides, err := w.deploy([]string{"kochi", "kollam"}, []string{"kochi", "kochi", "kollam"}, "dispatch")
 	if err != nil {
 		return err
 	}
@@ -62,19 +62,24 @@
 			w.rec("the store is silent")
 		}
 		time.Sleep(500 * time.Millisecond)
-		w.rec("%s loses power", m.name)
+		w.rec("zone %s loses power", m.zone)
 		m.server.crash()
-		m.signal(syscall.SIGKILL)
-		<-m.ended
+		zone := []*machine{edges[1], m}
+		for _, lost := range zone {
+			lost.signal(syscall.SIGKILL)
+			<-lost.ended
+		}
 		time.Sleep(1500 * time.Millisecond)
-		if err := m.start(); err != nil {
-			return err
+		for _, lost := range zone {
+			if err := lost.start(); err != nil {
+				return err
+			}
 		}
 		time.Sleep(100 * time.Millisecond)
 		if _, err := w.startServer(m, "i-returned", 20*time.Millisecond, 2*time.Second); err != nil {
 			return err
 		}
-		time.Sleep(2400 * time.Millisecond)
+		time.Sleep(2200 * time.Millisecond)
 		w.store.SetSilent(false)
 		w.rec("the store answers again")
 	} else {
--- a/review/stand/case_new_server.go
+++ b/review/stand/case_new_server.go
@@ -12,7 +12,7 @@
 // by SIGTERM before the server's second heartbeat.
 func newServer(w *world) error {
 	r := platform.Route{Host: fmt.Sprintf("127.%d.8.1", w.net), Port: 8443, Service: "dispatch", Kind: "unsafe"}
-	_, sides, err := w.deploy([]string{"kochi", "kochi"}, []string{"kochi", "kochi"}, "dispatch")
+	_, sides, err := w.deploy([]string{"kochi", "kochi"}, []string{"kochi", "kochi", "kochi", "kochi"}, "dispatch")
 	if err != nil {
 		return err
 	}
@@ -40,7 +40,7 @@
 		return err
 	}
 	time.Sleep(50 * time.Millisecond)
-	flows := make([]*clientFlow, 40)
+	flows := make([]*clientFlow, 80)
 	var wg sync.WaitGroup
 	for n := range flows {
 		wg.Go(func() {
@@ -52,7 +52,7 @@
 				flows[n] = f
 			}
 		})
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(2 * time.Millisecond)
 	}
 	wg.Wait()
 	if w.trouble {
@@ -62,7 +62,8 @@
 	} else {
 		time.Sleep(600 * time.Millisecond)
 	}
-	time.Sleep(2 * time.Second)
+	// The flows rest until everything has been undisturbed for stable_ms.
+	time.Sleep(stable + time.Second)
 	for n, f := range flows {
 		if f == nil {
 			continue
--- a/review/stand/case_orders.go
+++ b/review/stand/case_orders.go
@@ -21,12 +21,12 @@
 	orders     *orders
 }
 
-// deployOrders starts two edge machines and three servers, and sends the first orders.
-func (w *world) deployOrders(pause time.Duration) (*orderDeployment, error) {
+// deployOrders starts two edge machines and servers in the given zones, and sends the first orders.
+func (w *world) deployOrders(sideZones []string, pause time.Duration) (*orderDeployment, error) {
 	host := fmt.Sprintf("127.%d.8.1", w.net)
 	d := &orderDeployment{w: w, old: platform.Route{Host: host, Port: 8443, Service: "dispatch", Kind: "unsafe"}, added: platform.Route{Host: host, Port: 8080, Service: "dispatch", Kind: "unsafe"}}
 	var err error
-	if _, d.sides, err = w.deploy([]string{"kochi", "kollam"}, []string{"kochi", "kollam", "kollam"}, "dispatch"); err != nil {
+	if _, d.sides, err = w.deploy([]string{"kochi", "kollam"}, sideZones, "dispatch"); err != nil {
 		return nil, err
 	}
 	w.configure(3, 0, d.old)
@@ -48,8 +48,8 @@
 	return d, nil
 }
 
-// judge plays the final fault and the disruption that follows it, and judges RECOVER
-// and then CONFIG.
+// judge plays the final fault and the disruption that follows it, and judges RECOVER.
+// It also records, without judging it, how requests on a route fare that is added later.
 func (d *orderDeployment) judge(disrupt func() error) error {
 	w := d.w
 	back := time.Now()
@@ -84,8 +84,5 @@
 	d.orders.refused = 0
 	good, all = d.orders.play(d.added, 20*time.Second)
 	w.rec("%d of %d requests on the added route were answered, %d openings were refused", good, all, d.orders.refused)
-	if d.orders.refused > 0 {
-		w.violation("CONFIG: %d of %d openings on the added route were refused later than config_apply_ms after its version was acknowledged, while all servers are ready", d.orders.refused, all)
-	}
 	return nil
 }
--- a/review/stand/case_quiet_agents.go
+++ b/review/stand/case_quiet_agents.go
@@ -6,7 +6,7 @@
 // platform does for planned work, a few seconds after a final fault. Later the operator
 // adds a route.
 func quietAgents(w *world) error {
-	d, err := w.deployOrders(400 * time.Millisecond)
+	d, err := w.deployOrders([]string{"kochi", "kollam", "kollam"}, 400*time.Millisecond)
 	if err != nil {
 		return err
 	}
--- a/review/stand/case_wrong_service.go
+++ b/review/stand/case_wrong_service.go
@@ -5,7 +5,7 @@
 // wrongService lets the store turn an edge machine away while the operator replaces a
 // route, and opens a flow on the removed route.
 func wrongService(w *world) error {
-	d, err := w.deployOrders(400 * time.Millisecond)
+	d, err := w.deployOrders([]string{"kochi", "kollam", "kollam"}, 400*time.Millisecond)
 	if err != nil {
 		return err
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,7 +22,7 @@
 
 func main() {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand CASE REPOSITORY FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: stand CASE REPOSITORY RECORD-FILE")
 		os.Exit(2)
 	}
 	w, err := newWorld(os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0")
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -59,12 +59,12 @@
 
 func (m *machine) netIP() net.IP { return net.ParseIP(m.ip).To4() }
 
-func newWorld(root, out string, trouble bool) (*world, error) {
+func newWorld(root, recordPath string, trouble bool) (*world, error) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
 	}
-	record, err := os.Create(filepath.Join(out, "record.txt"))
+	record, err := os.OpenFile(recordPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, err
 	}
