--- /dev/null
+++ b/review/stand-2/cases.go
@@ -0,0 +1,248 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleyfall.example/review-2/platform"
+)
+
+const deadline = 2 * time.Second
+
+// youngServer kills the agent beside a server that was added half a second before, and
+// starts it again. Clients then send their next requests on the flows that they opened
+// at that server, more than four seconds after the agent is back.
+func youngServer(d *deployment, trouble bool) (bool, error) {
+	_, _, _, err := small(d, 2, 20*time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	client, err := d.client(1)
+	if err != nil {
+		return false, err
+	}
+	agent, young, err := d.server(3, 20*time.Millisecond, time.Second)
+	if err != nil {
+		return false, err
+	}
+	if !await(3*time.Second, func() bool { return len(d.store.Keys("/agents/")) == 3 }) {
+		return false, errSetup
+	}
+	listed := time.Now()
+	var flows []*platform.Flow
+	held := 0
+	for n := 0; time.Since(listed) < 650*time.Millisecond && n < 40; n++ {
+		f, how := client.Open(route)
+		if f == nil {
+			d.record.Add("client: no flow: %s", how)
+			continue
+		}
+		if f.Request(fmt.Sprintf("first-%d", n), "POST", deadline) == "200" && young.Holds(f.Source()) {
+			flows = append(flows, f)
+			held++
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	d.record.Add("the added server holds %d flows, it has sent %d heartbeats", held, young.Heartbeats())
+	if held == 0 {
+		return false, fmt.Errorf("%w: the added server got no flow", errSetup)
+	}
+	if trouble {
+		agent.kill()
+		time.Sleep(100 * time.Millisecond)
+		if err := agent.launch(); err != nil {
+			return false, err
+		}
+	}
+	const pause = 6 * time.Second // longer than stable_ms, shorter than the idle time-out
+	time.Sleep(pause)
+	resets := 0
+	for n, f := range flows {
+		if !young.Holds(f.Source()) {
+			continue
+		}
+		end := f.Request(fmt.Sprintf("second-%d", n), "POST", deadline)
+		if end == "reset" && young.Holds(f.Source()) {
+			d.record.Add("FLOW: %s was reset while its server holds it", f.Source())
+			resets++
+		}
+	}
+	d.record.Add("%d of %d open flows of the added server were reset", resets, held)
+	return resets > 0, nil
+}
+
+// agentRoll kills all processes (the final fault), starts them again, and then stops
+// and starts the agents in turn. Requests go on all the time, each on a flow of its own.
+func agentRoll(d *deployment, trouble bool) (bool, error) {
+	edges, agents, _, err := small(d, 3, 5*time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	var clients []*platform.Client
+	for n := range 4 {
+		c, err := d.client(n + 1)
+		if err != nil {
+			return false, err
+		}
+		clients = append(clients, c)
+	}
+	var sentBefore, servedBefore, sentLater, servedLater atomic.Int64
+	var phase atomic.Int32 // 0: before the final fault, 1: in it, 2: later than recover_s
+	var load sync.WaitGroup
+	stop := make(chan struct{})
+	for n, c := range clients {
+		load.Add(1)
+		go func() {
+			defer load.Done()
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Duration(350+90*n) * time.Millisecond):
+				}
+				at := phase.Load()
+				f, how := c.Open(route)
+				end := how
+				id := fmt.Sprintf("order-%d-%d", n, k)
+				if f != nil {
+					end = f.Request(id, "POST", deadline)
+					f.Close()
+				} else {
+					d.record.Add("client: %s: the opening ends with %s", id, how)
+				}
+				switch at {
+				case 0:
+					sentBefore.Add(1)
+					if end == "200" {
+						servedBefore.Add(1)
+					}
+				case 2:
+					sentLater.Add(1)
+					if end == "200" {
+						servedLater.Add(1)
+					}
+				}
+			}
+		}()
+	}
+	time.Sleep(6 * time.Second)
+	phase.Store(1)
+	if trouble {
+		all := append(append([]*process(nil), edges...), agents...)
+		for _, p := range all {
+			p.kill()
+		}
+		time.Sleep(1200 * time.Millisecond)
+		for _, p := range all {
+			if err := p.launch(); err != nil {
+				return false, err
+			}
+		}
+	}
+	time.Sleep(6 * time.Second)
+	if trouble {
+		for _, p := range agents {
+			if err := p.restart(500 * time.Millisecond); err != nil {
+				return false, err
+			}
+			time.Sleep(1300 * time.Millisecond)
+		}
+	}
+	const recoverTime = 12 * time.Second
+	time.Sleep(recoverTime)
+	phase.Store(2)
+	time.Sleep(25 * time.Second)
+	close(stop)
+	load.Wait()
+	d.record.Add("before the final fault %d of %d requests were served", servedBefore.Load(), sentBefore.Load())
+	d.record.Add("later than recover_s after the last machine was back %d of %d requests were served", servedLater.Load(), sentLater.Load())
+	if 4*servedBefore.Load() < sentBefore.Load() || sentBefore.Load() == 0 || sentLater.Load() == 0 {
+		return false, errSetup
+	}
+	return 4*servedLater.Load() < sentLater.Load(), nil
+}
+
+// lateEntry restarts an agent twice; the answer to the first write of the first restart
+// is lost and the write is done five seconds later. Half a minute later, an entry node
+// is stopped and started as planned, while clients use their flows.
+func lateEntry(d *deployment, trouble bool) (bool, error) {
+	edges, agents, servers, err := small(d, 2, 20*time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	client, err := d.client(1)
+	if err != nil {
+		return false, err
+	}
+	var flows []*platform.Flow
+	for n := 0; len(flows) < 24 && n < 60; n++ {
+		f, _ := client.Open(route)
+		if f != nil && f.Request(fmt.Sprintf("first-%d", n), "POST", deadline) == "200" {
+			flows = append(flows, f)
+		}
+	}
+	agent := agents[0] // the agent in the zone of the first entry node
+	if trouble {
+		d.store.LoseAnswerOnce("/"+agent.settings.Node, 5*time.Second)
+		agent.kill()
+		time.Sleep(300 * time.Millisecond)
+		if err := agent.launch(); err != nil {
+			return false, err
+		}
+		time.Sleep(1800 * time.Millisecond) // its server's next heartbeat makes it write its entry
+		agent.kill()
+		time.Sleep(300 * time.Millisecond)
+		if err := agent.launch(); err != nil {
+			return false, err
+		}
+	}
+	round := 0
+	resets := 0
+	use := func(planned bool) {
+		round++
+		for n, f := range flows {
+			holder := holds(servers, f)
+			if f == nil || holder == nil {
+				continue
+			}
+			end := f.Request(fmt.Sprintf("round-%d-%d", round, n), "POST", deadline)
+			if end == "reset" {
+				flows[n] = nil
+				if planned && holder.Holds(f.Source()) {
+					d.record.Add("FLOW: %s was reset while its server %s holds it", f.Source(), holder.ID)
+					resets++
+				}
+			}
+		}
+	}
+	for range 8 {
+		time.Sleep(5 * time.Second)
+		use(false)
+	}
+	d.record.Add("entries in the store: %v", d.store.Keys("/agents/"))
+	done := make(chan error, 1)
+	go func() { done <- edges[0].restart(500 * time.Millisecond) }()
+	for range 10 {
+		time.Sleep(time.Second)
+		use(true)
+	}
+	if err := <-done; err != nil {
+		return false, err
+	}
+	d.record.Add("%d open flows were reset during planned work", resets)
+	return resets > 0, nil
+}
+
+func holds(servers []*platform.Server, f *platform.Flow) *platform.Server {
+	if f == nil {
+		return nil
+	}
+	for _, v := range servers {
+		if v.Holds(f.Source()) {
+			return v
+		}
+	}
+	return nil
+}
