--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -73,6 +73,91 @@
 	return resets > 0, nil
 }
 
+// load sends requests all the time, each on a flow of its own, and counts those that are
+// sent before the final fault and later than recover_s after the last repair.
+type load struct {
+	record *platform.Record
+	// phase is 0 before the final fault, 1 until recover_s has passed, 2 later.
+	phase        atomic.Int32
+	sent, served [3]atomic.Int64
+	stop         chan struct{}
+	clients      sync.WaitGroup
+}
+
+const (
+	phaseBefore = iota
+	phaseRecovery
+	phaseLater
+)
+
+func startLoad(d *deployment) (*load, error) {
+	l := &load{record: d.record, stop: make(chan struct{})}
+	for n := range 4 {
+		c, err := d.client(n + 1)
+		if err != nil {
+			return nil, err
+		}
+		l.clients.Add(1)
+		go l.loop(c, n)
+	}
+	return l, nil
+}
+
+func (l *load) loop(c *platform.Client, number int) {
+	defer l.clients.Done()
+	for k := 0; ; k++ {
+		select {
+		case <-l.stop:
+			return
+		case <-time.After(time.Duration(350+90*number) * time.Millisecond):
+		}
+		at := l.phase.Load()
+		id := fmt.Sprintf("order-%d-%d", number, k)
+		f, end := c.Open(route)
+		if f != nil {
+			end = f.Request(id, "POST", deadline)
+			f.Close()
+		} else {
+			l.record.Add("client: %s: the opening ends with %s", id, end)
+		}
+		l.sent[at].Add(1)
+		if end == "200" {
+			l.served[at].Add(1)
+		}
+	}
+}
+
+// finish waits until recover_s has passed, counts for a while, and reports whether less
+// than a quarter is served though a quarter or more was before.
+func (l *load) finish() (bool, error) {
+	const recoverTime, counted = 12 * time.Second, 25 * time.Second
+	time.Sleep(recoverTime)
+	l.phase.Store(phaseLater)
+	time.Sleep(counted)
+	close(l.stop)
+	l.clients.Wait()
+	l.record.Add("before the final fault %d of %d requests were served", l.served[phaseBefore].Load(), l.sent[phaseBefore].Load())
+	l.record.Add("later than recover_s after all was back %d of %d requests were served", l.served[phaseLater].Load(), l.sent[phaseLater].Load())
+	if 4*l.served[phaseBefore].Load() < l.sent[phaseBefore].Load() || l.sent[phaseBefore].Load() == 0 || l.sent[phaseLater].Load() == 0 {
+		return false, errSetup
+	}
+	return 4*l.served[phaseLater].Load() < l.sent[phaseLater].Load(), nil
+}
+
+// finalFault kills all processes of the system and starts them again.
+func finalFault(processes []*process) error {
+	for _, p := range processes {
+		p.kill()
+	}
+	time.Sleep(1200 * time.Millisecond)
+	for _, p := range processes {
+		if err := p.launch(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // agentRoll kills all processes (the final fault), starts them again, and then stops
 // and starts the agents in turn. Requests go on all the time, each on a flow of its own.
 func agentRoll(d *deployment, trouble bool) (bool, error) {
@@ -80,88 +165,60 @@
 	if err != nil {
 		return false, err
 	}
-	var clients []*platform.Client
-	for n := range 4 {
-		c, err := d.client(n + 1)
-		if err != nil {
-			return false, err
-		}
-		clients = append(clients, c)
-	}
-	var sentBefore, servedBefore, sentLater, servedLater atomic.Int64
-	var phase atomic.Int32 // 0: before the final fault, 1: in it, 2: later than recover_s
-	var load sync.WaitGroup
-	stop := make(chan struct{})
-	for n, c := range clients {
-		load.Add(1)
-		go func() {
-			defer load.Done()
-			for k := 0; ; k++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(time.Duration(350+90*n) * time.Millisecond):
-				}
-				at := phase.Load()
-				f, how := c.Open(route)
-				end := how
-				id := fmt.Sprintf("order-%d-%d", n, k)
-				if f != nil {
-					end = f.Request(id, "POST", deadline)
-					f.Close()
-				} else {
-					d.record.Add("client: %s: the opening ends with %s", id, how)
-				}
-				switch at {
-				case 0:
-					sentBefore.Add(1)
-					if end == "200" {
-						servedBefore.Add(1)
-					}
-				case 2:
-					sentLater.Add(1)
-					if end == "200" {
-						servedLater.Add(1)
-					}
-				}
-			}
-		}()
+	l, err := startLoad(d)
+	if err != nil {
+		return false, err
 	}
 	time.Sleep(6 * time.Second)
-	phase.Store(1)
-	if trouble {
-		all := append(append([]*process(nil), edges...), agents...)
-		for _, p := range all {
-			p.kill()
-		}
-		time.Sleep(1200 * time.Millisecond)
-		for _, p := range all {
-			if err := p.launch(); err != nil {
-				return false, err
-			}
+	l.phase.Store(phaseRecovery)
+	if !trouble {
+		time.Sleep(12 * time.Second)
+		return l.finish()
+	}
+	if err := finalFault(append(append([]*process(nil), edges...), agents...)); err != nil {
+		return false, err
+	}
+	time.Sleep(6 * time.Second)
+	for _, p := range agents {
+		if err := p.restart(500 * time.Millisecond); err != nil {
+			return false, err
 		}
+		time.Sleep(1300 * time.Millisecond)
+	}
+	return l.finish()
+}
+
+// flappingServers kills all processes (the final fault) and starts them again. Then each
+// server in turn goes down and up twice. Requests go on all the time.
+func flappingServers(d *deployment, trouble bool) (bool, error) {
+	edges, agents, servers, err := small(d, 7, 5*time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	l, err := startLoad(d)
+	if err != nil {
+		return false, err
 	}
 	time.Sleep(6 * time.Second)
-	if trouble {
-		for _, p := range agents {
-			if err := p.restart(500 * time.Millisecond); err != nil {
+	l.phase.Store(phaseRecovery)
+	if !trouble {
+		time.Sleep(20 * time.Second)
+		return l.finish()
+	}
+	if err := finalFault(append(append([]*process(nil), edges...), agents...)); err != nil {
+		return false, err
+	}
+	time.Sleep(5 * time.Second)
+	const down, up = 800 * time.Millisecond, 2200 * time.Millisecond
+	for n := range servers {
+		for range 2 {
+			if servers[n], err = servers[n].Restart(down); err != nil {
 				return false, err
 			}
-			time.Sleep(1300 * time.Millisecond)
+			time.Sleep(up)
 		}
 	}
-	const recoverTime = 12 * time.Second
-	time.Sleep(recoverTime)
-	phase.Store(2)
-	time.Sleep(25 * time.Second)
-	close(stop)
-	load.Wait()
-	d.record.Add("before the final fault %d of %d requests were served", servedBefore.Load(), sentBefore.Load())
-	d.record.Add("later than recover_s after the last machine was back %d of %d requests were served", servedLater.Load(), sentLater.Load())
-	if 4*servedBefore.Load() < sentBefore.Load() || sentBefore.Load() == 0 || sentLater.Load() == 0 {
-		return false, errSetup
-	}
-	return 4*servedLater.Load() < sentLater.Load(), nil
+	return l.finish()
 }
 
 // lateEntry restarts an agent twice; the answer to the first write of the first restart
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -29,9 +29,10 @@
 
 // cases are the scripted cases by name. They report whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
-	"late-entry":   lateEntry,
-	"young-server": youngServer,
-	"agent-roll":   agentRoll,
+	"late-entry":       lateEntry,
+	"young-server":     youngServer,
+	"agent-roll":       agentRoll,
+	"flapping-servers": flappingServers,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand-2/platform/server.go
+++ b/review/stand-2/platform/server.go
@@ -65,6 +65,15 @@
 	_ = v.conn.Close()
 }
 
+// Restart crashes the server, which sends nothing, and after a pause starts its next
+// incarnation with a new id.
+func (v *Server) Restart(down time.Duration) (*Server, error) {
+	v.record.Add("server %s crashes", v.ID)
+	v.Stop()
+	time.Sleep(down)
+	return NewServer(fmt.Sprintf("i-%s-%d", v.settings.Node, time.Now().UnixMilli()%100000), v.settings, v.Slots, v.Work, v.record)
+}
+
 // Holds reports whether the server holds the open flow of a client.
 func (v *Server) Holds(client netip.AddrPort) bool {
 	v.mu.Lock()
