--- a/review/stand-2/deployment.go
+++ b/review/stand-2/deployment.go
@@ -23,6 +23,7 @@
 	ports        platform.Ports
 	record       *platform.Record
 	store        *platform.Store
+	edgeGate     *platform.Gate
 	router       *platform.Router
 	machines     int
 	reserved     net.Listener
@@ -58,6 +59,10 @@
 	d.ports = platform.Ports{Data: ports[0], Readiness: ports[1], Control: ports[2], Outbound: ports[3], App: ports[4], Internal: ports[5]}
 	var err error
 	d.store, err = platform.NewStore(fmt.Sprintf("127.%d.0.1:%d", d.network, ports[0]), record)
+	if err != nil {
+		return nil, err
+	}
+	d.edgeGate, err = d.store.NewGate(fmt.Sprintf("127.%d.0.3:%d", d.network, ports[0]))
 	d.router = platform.NewRouter(record)
 	return d, err
 }
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -29,10 +29,8 @@
 
 // cases are the scripted cases by name. They report whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
-	"late-entry":       lateEntry,
-	"young-server":     youngServer,
-	"agent-roll":       agentRoll,
-	"flapping-servers": flappingServers,
+	"late-entry":     lateEntry,
+	"replaced-route": replacedRoute,
 }
 
 func main() { os.Exit(run()) }
@@ -86,7 +84,10 @@
 
 const service = "bookings"
 
-var route = netip.MustParseAddrPort("198.18.0.1:8443")
+var (
+	route    = netip.MustParseAddrPort("198.18.0.1:8443")
+	newRoute = netip.MustParseAddrPort("198.18.0.2:8443")
+)
 
 // small starts two entry nodes and the given number of servers with their agents, writes
 // the first configuration and waits until the system is ready.
@@ -97,6 +98,7 @@
 	})
 	for i := range 2 {
 		s := d.machine(fmt.Sprintf("edge-%d", i+1), fmt.Sprintf("zone-%d", i+1), "")
+		s.StoreAddress = d.edgeGate.Address
 		p, err := d.start("balancer", s)
 		if err != nil {
 			return nil, nil, nil, err
@@ -105,7 +107,7 @@
 		edges = append(edges, p)
 	}
 	for i := range servers {
-		p, v, err := d.server(i+1, work, 0)
+		p, v, err := d.server(i+1, work)
 		if err != nil {
 			return nil, nil, nil, err
 		}
@@ -121,14 +123,13 @@
 	return edges, agents, all, nil
 }
 
-// server starts a machine with an agent and, after a delay, its server.
-func (d *deployment) server(number int, work, after time.Duration) (*process, *platform.Server, error) {
+// server starts a machine with an agent and its server.
+func (d *deployment) server(number int, work time.Duration) (*process, *platform.Server, error) {
 	s := d.machine(fmt.Sprintf("side-%d", number), fmt.Sprintf("zone-%d", 1+(number-1)%2), service)
 	p, err := d.start("agent", s)
 	if err != nil {
 		return nil, nil, err
 	}
-	time.Sleep(after)
 	v, err := platform.NewServer(fmt.Sprintf("i-%d%d", number, time.Now().UnixMilli()%100000), s, 2, work, d.record)
 	return p, v, err
 }
@@ -137,13 +138,3 @@
 func (d *deployment) client(number int) (*platform.Client, error) {
 	return platform.NewClient(fmt.Sprintf("127.%d.2.%d", d.network, number), d.ports.Data, d.router, d.record)
 }
-
-// await waits until a condition holds.
-func await(limit time.Duration, condition func() bool) bool {
-	for started := time.Now(); !condition(); time.Sleep(5 * time.Millisecond) {
-		if time.Since(started) > limit {
-			return false
-		}
-	}
-	return true
-}
--- a/review/stand-2/platform/client.go
+++ b/review/stand-2/platform/client.go
@@ -14,7 +14,6 @@
 // node is selected by a hash; if a node leaves, only its flows move.
 type Router struct {
 	record *Record
-	stop   chan struct{}
 
 	mu    sync.Mutex
 	nodes []*routedNode
@@ -28,7 +27,7 @@
 
 // NewRouter starts a router.
 func NewRouter(record *Record) *Router {
-	r := &Router{record: record, stop: make(chan struct{})}
+	r := &Router{record: record}
 	go r.loopProbe()
 	return r
 }
@@ -65,11 +64,7 @@
 		for _, node := range nodes {
 			go r.probe(client, node)
 		}
-		select {
-		case <-r.stop:
-			return
-		case <-time.After(500 * time.Millisecond):
-		}
+		time.Sleep(500 * time.Millisecond)
 	}
 }
 
@@ -161,13 +156,12 @@
 		if f == nil || p.src != f.dst {
 			continue
 		}
-		p2 := p
 		if !sound && !(p.flags&flagRST != 0 && p.sum == 0 && p.data == "") {
 			c.record.Add("client: UNSOUND packet on %s", f.src)
 			continue
 		}
 		select {
-		case f.in <- p2:
+		case f.in <- p:
 		default:
 		}
 	}
@@ -180,8 +174,6 @@
 	in       chan packet
 	seq, ack uint32
 	open     bool
-	// FirstNode is the entry node that received the opening.
-	FirstNode string
 }
 
 // Source returns the client's end of the flow.
@@ -214,7 +206,7 @@
 	const limit = 1400 * time.Millisecond
 	for sent := uint32(0); time.Since(started) < limit; {
 		if int(sent) < len(copies) && time.Since(started) >= copies[sent] {
-			f.FirstNode = f.send(&packet{src: f.src, dst: dst, flags: flagSYN, seq: f.seq, ack: sent})
+			f.send(&packet{src: f.src, dst: dst, flags: flagSYN, seq: f.seq, ack: sent})
 			sent++
 		}
 		next := limit
--- a/review/stand-2/platform/configuration.go
+++ b/review/stand-2/platform/configuration.go
@@ -45,11 +45,11 @@
 
 // Settings are the settings of a machine from which the platform fills in a template.
 type Settings struct {
-	Node, Zone, Service       string
-	IP                        string
-	Ports                     Ports
-	HeartbeatMS               int
-	StoreAddress, TemplateDir string
+	Node, Zone, Service string
+	IP                  string
+	Ports               Ports
+	HeartbeatMS         int
+	StoreAddress        string
 }
 
 // Ports are the ports of a day, the same on all machines.
--- a/review/stand-2/platform/server.go
+++ b/review/stand-2/platform/server.go
@@ -25,7 +25,6 @@
 	outbound          netip.AddrPort
 	born              int64
 	slots             chan struct{}
-	stop              chan struct{}
 
 	mu       sync.Mutex
 	sequence int
@@ -50,7 +49,7 @@
 	v := &Server{
 		ID: id, Service: s.Service, Zone: s.Zone, Slots: slots, Work: work, Heartbeat: time.Duration(s.HeartbeatMS) * time.Millisecond,
 		settings: s, record: record, conn: conn, outbound: netip.MustParseAddrPort(fmt.Sprintf("%s:%d", s.IP, s.Ports.Outbound)),
-		born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), stop: make(chan struct{}), state: "ready",
+		born: time.Now().UnixMilli(), slots: make(chan struct{}, slots), state: "ready",
 		flows: make(map[netip.AddrPort]*serverFlow), ended: make(map[netip.AddrPort]bool),
 	}
 	record.Add("server %s starts on %s", id, s.Node)
@@ -59,21 +58,6 @@
 	return v, nil
 }
 
-// Stop ends the server.
-func (v *Server) Stop() {
-	close(v.stop)
-	_ = v.conn.Close()
-}
-
-// Restart crashes the server, which sends nothing, and after a pause starts its next
-// incarnation with a new id.
-func (v *Server) Restart(down time.Duration) (*Server, error) {
-	v.record.Add("server %s crashes", v.ID)
-	v.Stop()
-	time.Sleep(down)
-	return NewServer(fmt.Sprintf("i-%s-%d", v.settings.Node, time.Now().UnixMilli()%100000), v.settings, v.Slots, v.Work, v.record)
-}
-
 // Holds reports whether the server holds the open flow of a client.
 func (v *Server) Holds(client netip.AddrPort) bool {
 	v.mu.Lock()
@@ -82,21 +66,10 @@
 	return f != nil && f.open
 }
 
-// Heartbeats returns the number of heartbeats sent.
-func (v *Server) Heartbeats() int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.sequence
-}
-
 func (v *Server) loopHeartbeats() {
 	for {
 		v.beat()
-		select {
-		case <-v.stop:
-			return
-		case <-time.After(v.Heartbeat):
-		}
+		time.Sleep(v.Heartbeat)
 	}
 }
 
@@ -128,12 +101,7 @@
 	for {
 		n, err := v.conn.Read(b)
 		if err != nil {
-			select {
-			case <-v.stop:
-				return
-			default:
-				continue // ICMP error of an earlier datagram
-			}
+			continue // ICMP error of an earlier datagram; the process ends with the run
 		}
 		v.handle(b[:n])
 	}
--- a/review/stand-2/platform/store.go
+++ b/review/stand-2/platform/store.go
@@ -79,6 +79,63 @@
 	return s, nil
 }
 
+// Gate is a further address of the store, for some machines only. The store can turn
+// the calls of these machines away while it serves the others.
+type Gate struct {
+	Address string
+	store   *Store
+
+	mu      sync.Mutex
+	refuses bool
+	conns   map[net.Conn]bool
+}
+
+// NewGate opens a gate.
+func (s *Store) NewGate(address string) (*Gate, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gate{Address: address, store: s, conns: make(map[net.Conn]bool)}
+	server := &http.Server{Handler: http.HandlerFunc(g.serve), ConnState: g.track}
+	go func() { _ = server.Serve(listener) }()
+	return g, nil
+}
+
+func (g *Gate) track(c net.Conn, state http.ConnState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		g.conns[c] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(g.conns, c)
+	}
+}
+
+func (g *Gate) serve(w http.ResponseWriter, r *http.Request) {
+	g.mu.Lock()
+	refuses := g.refuses
+	g.mu.Unlock()
+	if refuses {
+		answer(w, http.StatusServiceUnavailable, struct{}{})
+		return
+	}
+	g.store.serve(w, r)
+}
+
+// Refuse makes the store turn calls through the gate away with status 503, or serve them
+// again. Calls under way are cut.
+func (g *Gate) Refuse(refuse bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refuses = refuse
+	for c := range g.conns {
+		_ = c.Close()
+	}
+	g.store.record.Add("store: turns the machines of %s away: %t", g.Address, refuse)
+}
+
 func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeAnswerTime)
 	if r.Method == http.MethodPost && r.URL.Path == "/kv-txn" {
