--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -11,8 +11,13 @@
 folder=$(mktemp -d) || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-timeout 115 "$program" -case late-entry -trouble=$trouble -root "$root" -folder "$folder" -record "$here/record.txt"
+timeout 115 "$program" -case late-entry -trouble=$trouble -root "$root" -folder "$folder" -record "$here/record.txt" &
+pid=$!
+trap 'kill $pid' TERM INT HUP
+wait $pid
 code=$?
+trap - TERM INT HUP
+wait $pid 2>/dev/null
 rm -rf "$folder"
 [ $code -le 1 ] || code=2
 exit $code
