Keep a late write of an ended agent process from replacing its successor's entry

An agent put its entry without a condition. The store may execute a write whose response was lost seconds later, when the process has ended and the next one has written the same key: the key moves to the lease of the dead process, lapses with it, and the living process goes on renewing its own lease, which holds nothing. Reports of balancers that the entry is missing only renewed that lease once more. The removal of an entry with its withdrawal record could take effect late in the same way.

Each write of an entry has the condition that the key is still at the revision that this process knows; a refused write returns what the store holds, and is repeated with its revision. An agent whose lease is alive reads its entry when a balancer reports it missing, and writes it again unless it is there under that lease; not within 2 s after it wrote or read it, as balancers may not know yet. EntryConflict and bramleyfall_entry_conflicts_total show both. A response that was lost needs no second write after 7 s any more; only an entry that was removed is looked for once more.

Why this works: a late write holds only if nobody wrote the key after its sender read it, however late it is.

A restarted agent that finds an entry makes one call more (a refused write).

--- a/bramleyfall.go
+++ b/bramleyfall.go
@@ -111,10 +111,11 @@
 	// changes if there are none within wait, and ErrHistoryLost if the store no
 	// longer retains the changes after that revision or has been restored since.
 	Await(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]KeyValue, Revision, error)
-	// Commit executes txn atomically and reports whether its conditions held.
-	// The error ErrUnknownOutcome means that the write may still take effect,
-	// ErrLeaseLost that a lease used by the transaction has ended.
-	Commit(ctx context.Context, txn Txn) (bool, error)
+	// Commit executes txn atomically if its conditions hold. The error
+	// ErrUnknownOutcome means that the write may still take effect while the conditions
+	// hold, ErrLeaseLost that a lease used by the transaction has ended, and
+	// ErrHistoryLost that the store was restored since the revision of a condition.
+	Commit(ctx context.Context, txn Txn) (TxnResult, error)
 	// Grant creates a lease that expires after ttl unless it is renewed.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease. It returns ErrLeaseLost if the lease has ended or the
--- a/direct/agent.go
+++ b/direct/agent.go
@@ -132,7 +132,7 @@
 	ownEntry := &dependency{telemetry: t, name: "OwnEntry"}
 	a.configWatcher = directory.NewConfigurationWatcher(source, a.peers.fetch, a.applyConfiguration, configuration.recordOutcome, directory.AgentWatchTimeout,
 		directory.WithRejectionObserver(logRejected(t)), directory.WithClock(clock))
-	a.announcer = directory.NewAnnouncer(store, ownEntry.recordOutcome)
+	a.announcer = directory.NewAnnouncer(store, ownEntry.recordOutcome, directory.WithConflictObserver(logConflict(t)))
 	if a.tunnelConn, err = listenUDP(config.Packets); err != nil {
 		return nil, err
 	}
@@ -257,7 +257,7 @@
 	case tunnel.Probe:
 		if m.EntryMissing && !now.Before(a.nextRenewal) {
 			a.nextRenewal = now.Add(minRenewInterval)
-			a.announcer.RenewNow()
+			a.announcer.ReportMissing()
 		}
 		a.send(index, &tunnel.Message{Kind: tunnel.Report})
 	case tunnel.Lookup:
@@ -371,6 +371,17 @@
 	}
 }
 
+// logConflict returns a function that logs that the store holds another entry than
+// expected.
+func logConflict(t *telemetry.Telemetry) directory.ConflictFunc {
+	return func(expected, found bramleyfall.KeyValue) {
+		t.Counter("bramleyfall_entry_conflicts_total").Inc()
+		t.Log.Info().Str("Event", "EntryConflict").Uint64("ExpectedRevision", bramleyfall.Revision(expected.ModRevision).Number()).
+			Int64("Lease", int64(expected.Lease)).Uint64("Revision", bramleyfall.Revision(found.ModRevision).Number()).
+			Int64("EntryLease", int64(found.Lease)).Msg("")
+	}
+}
+
 func (a *Agent) countMalformed(err error) {
 	a.metrics.malformed.Inc()
 	if a.metrics.malformed.Get()%malformedLogEvery == 1 {
--- a/directory/announcer_test.go
+++ b/directory/announcer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -15,17 +16,35 @@
 // with an unknown outcome, if delay is set.
 type lateStore struct {
 	bramleyfall.LongPollStore
-	mu      sync.Mutex
-	values  map[string][]byte
-	delay   time.Duration
-	commits int
+	mu       sync.Mutex
+	values   map[string][]byte
+	written  map[string]bramleyfall.Revision
+	revision bramleyfall.Revision
+	delay    time.Duration
+	commits  int
+}
+
+func newLateStore(delay time.Duration) *lateStore {
+	return &lateStore{values: make(map[string][]byte), written: make(map[string]bramleyfall.Revision), delay: delay}
 }
 
 func (s *lateStore) Grant(context.Context, time.Duration) (bramleyfall.LeaseID, error) { return 1, nil }
 
 func (s *lateStore) KeepAlive(context.Context, bramleyfall.LeaseID) error { return nil }
 
-func (s *lateStore) Commit(_ context.Context, t bramleyfall.Txn) (bool, error) {
+func (s *lateStore) List(_ context.Context, prefix string) ([]bramleyfall.KeyValue, bramleyfall.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var pairs []bramleyfall.KeyValue
+	for key, value := range s.values {
+		if strings.HasPrefix(key, prefix) {
+			pairs = append(pairs, bramleyfall.KeyValue{Key: key, Value: value, ModRevision: int64(s.written[key]), Lease: 1})
+		}
+	}
+	return pairs, s.revision, nil
+}
+
+func (s *lateStore) Commit(_ context.Context, t bramleyfall.Txn) (bramleyfall.TxnResult, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commits++
@@ -36,20 +55,32 @@
 			s.apply(t)
 		})
 		s.delay = 0
-		return false, bramleyfall.ErrUnknownOutcome
+		return bramleyfall.TxnResult{}, bramleyfall.ErrUnknownOutcome
 	}
-	s.apply(t)
-	return true, nil
+	return s.apply(t), nil
 }
 
-func (s *lateStore) apply(t bramleyfall.Txn) {
+func (s *lateStore) apply(t bramleyfall.Txn) bramleyfall.TxnResult {
+	result := bramleyfall.TxnResult{Committed: true}
+	for _, c := range t.Conditions {
+		result.Committed = result.Committed && s.written[c.Key] == bramleyfall.Revision(c.ModRevision)
+		if value, ok := s.values[c.Key]; ok {
+			result.Current = append(result.Current, bramleyfall.KeyValue{Key: c.Key, Value: value, ModRevision: int64(s.written[c.Key]), Lease: 1})
+		}
+	}
+	if !result.Committed {
+		return result
+	}
+	s.revision++
 	for _, w := range t.Writes {
 		if w.Delete {
 			delete(s.values, w.Key)
+			delete(s.written, w.Key)
 			continue
 		}
-		s.values[w.Key] = w.Value
+		s.values[w.Key], s.written[w.Key] = w.Value, s.revision
 	}
+	return bramleyfall.TxnResult{Committed: true, Revision: s.revision}
 }
 
 // storedBoot returns the boot ID in the only stored entry, or zero.
@@ -84,7 +115,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			s := &lateStore{values: make(map[string][]byte), delay: delay}
+			s := newLateStore(delay)
 			a := directory.NewAnnouncer(s, func(error) {}, directory.WithLateWriteWindow(2*delay))
 			a.SetEntry(entry(1))
 			go a.Run(ctx)
--- a/directory/entries_test.go
+++ b/directory/entries_test.go
@@ -224,13 +224,13 @@
 	return nil, after, ctx.Err()
 }
 
-func (s *checkpointStore) Commit(_ context.Context, txn bramleyfall.Txn) (bool, error) {
+func (s *checkpointStore) Commit(_ context.Context, txn bramleyfall.Txn) (bramleyfall.TxnResult, error) {
 	s.writes = append(s.writes, fmt.Sprintf("%s %s", txn.Writes[0].Key, txn.Writes[0].Value))
 	s.at = append(s.at, s.now)
 	if len(s.writes) == 2 {
 		s.cancel()
 	}
-	return true, nil
+	return bramleyfall.TxnResult{Committed: true}, nil
 }
 
 // A checkpoint refers to the checkpoints before it. It is written between 4.5 s and
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -46,14 +46,14 @@
 
 // Commit writes checkpoints, which are the only writes of an EntryWatcher, if
 // keepsCheckpoints is set.
-func (m *memoryStore) Commit(_ context.Context, txn bramleyfall.Txn) (bool, error) {
+func (m *memoryStore) Commit(_ context.Context, txn bramleyfall.Txn) (bramleyfall.TxnResult, error) {
 	if !m.keepsCheckpoints {
-		return true, nil
+		return bramleyfall.TxnResult{Committed: true}, nil
 	}
 	for _, w := range txn.Writes {
 		m.putRecord(w.Key, string(w.Value))
 	}
-	return true, nil
+	return bramleyfall.TxnResult{Committed: true}, nil
 }
 
 // eventRecorder records which agents are missing or withdrawn, and why a list may be
--- a/types.go
+++ b/types.go
@@ -162,7 +162,10 @@
 	Key         string
 	Value       []byte
 	ModRevision int64
-	Deleted     bool
+	// Lease is the lease to which the key is attached, or zero. KeyValueStore does not
+	// report it.
+	Lease   LeaseID
+	Deleted bool
 }
 
 // Condition is true if the key was last written at ModRevision. A ModRevision of
@@ -185,3 +188,14 @@
 	Conditions []Condition
 	Writes     []Write
 }
+
+// TxnResult is the result of a transaction.
+type TxnResult struct {
+	// Committed reports whether the conditions held, so that the writes took effect.
+	Committed bool
+	// Revision is the revision of the writes, if they took effect.
+	Revision Revision
+	// Current holds the present state of those keys in the conditions that exist, if
+	// the conditions did not hold.
+	Current []KeyValue
+}
