Keep a living agent in the list when other keys with its name or address change

The order in which entries were written decided which agent uses an address, and a removal or a withdrawal record counted for whoever has the instance name in its key. A late put of an agent that has ended, beside whose address another agent lives now, displaced the living one; when its lease lapsed, the address counted as without an agent until the next list. The late entry of the same machine for an earlier service, the removal of a malformed entry and a record by another writer reported a living agent as missing or withdrawn.

The watcher keeps all valid entries by key, address and instance. Of those with one address the one whose upstream started last holds it; when it goes, the next one is reported again. A removal counts only for an entry that was listed, a withdrawal only for an instance without an entry, after the other changes that were read with it.

--- a/directory/entries.go
+++ b/directory/entries.go
@@ -79,10 +79,12 @@
 	clock   bramleyfall.Clock
 	handler EntryHandler
 	health  HealthFunc
-	// knownRevisions maps the keys of the entries that handler knows to the revisions
-	// of their last changes.
-	knownRevisions map[string]int64
-	checkpoints    checkpointState
+	// listed holds the entries in the store.
+	listed      entrySet
+	checkpoints checkpointState
+	// withdrawals holds the withdrawal records that were read since the last call of
+	// applyWithdrawals.
+	withdrawals []bramleyfall.KeyValue
 	// revision is the store revision up to which all changes are known, or zero if
 	// the entries have to be listed.
 	revision bramleyfall.Revision
@@ -100,7 +102,7 @@
 // NewEntryWatcher returns a watcher that passes changes of entries to handler.
 func NewEntryWatcher(store bramleyfall.LongPollStore, clock bramleyfall.Clock, handler EntryHandler, health HealthFunc) *EntryWatcher {
 	return &EntryWatcher{
-		store: store, clock: clock, handler: handler, health: health, knownRevisions: make(map[string]int64),
+		store: store, clock: clock, handler: handler, health: health, listed: newEntrySet(),
 		checkpoints: newCheckpointState(),
 		refresh:     make(chan struct{}, 1),
 	}
@@ -190,7 +192,6 @@
 // expired in an outage: balancers that have watched the entries for longer know
 // these agents and keep them as long as they answer.
 func (w *EntryWatcher) reportRemovedEntries(ctx context.Context, revision bramleyfall.Revision) {
-	addresses, instances := w.listedAgents()
 	changes, err := w.recentChanges(ctx, revision)
 	if err != nil {
 		w.handler.ListMayBeIncomplete(err)
@@ -210,7 +211,7 @@
 			w.handler.RecordMalformed(err)
 			continue
 		}
-		if addresses[a.Packets] || instances[a.Instance] {
+		if w.listed.holder(a.Packets) != nil || w.listed.lists(a.Instance) {
 			continue // has an entry again, or another agent now uses its address
 		}
 		w.handler.EntryAdded(a)
@@ -221,17 +222,6 @@
 	}
 }
 
-// listedAgents returns the packet addresses and instances of the known entries.
-func (w *EntryWatcher) listedAgents() (map[bramleyfall.Endpoint]bool, map[bramleyfall.InstanceID]bool) {
-	addresses, instances := make(map[bramleyfall.Endpoint]bool), make(map[bramleyfall.InstanceID]bool)
-	for key := range w.knownRevisions {
-		if a, err := parseKey(key); err == nil { // malformed keys have been reported
-			addresses[a.Packets], instances[a.Instance] = true, true
-		}
-	}
-	return addresses, instances
-}
-
 // recentChanges returns the changes since the oldest checkpoint from which the
 // store's history is still available. If there is no such checkpoint, it returns
 // the changes that searchHistory finds, and an error.
@@ -272,19 +262,19 @@
 }
 
 // applyList applies a list of all entries. Known entries that it lacks count as
-// removed. Of two entries with the same address, the one that was written later
-// belongs to the agent that uses the address.
+// removed.
 func (w *EntryWatcher) applyList(pairs []bramleyfall.KeyValue) {
 	present := make(map[string]bool, len(pairs))
 	for _, pair := range slices.SortedStableFunc(slices.Values(pairs), compareForList) {
 		present[pair.Key] = true
 		w.applyChange(pair)
 	}
-	for key := range w.knownRevisions {
+	for key := range w.listed.byKey {
 		if !present[key] {
 			w.applyChange(bramleyfall.KeyValue{Key: key, Deleted: true})
 		}
 	}
+	w.applyWithdrawals()
 }
 
 // compareForList orders the entries of a list by revision, and before all other keys.
@@ -307,38 +297,68 @@
 		}
 		return
 	case pair.Key == withdrawnKey:
-		w.applyWithdrawal(pair)
+		w.withdrawals = append(w.withdrawals, pair)
 		return
 	case pair.Deleted:
-		delete(w.knownRevisions, pair.Key)
-		w.handler.EntryMissing(instanceFromKey(pair.Key))
+		w.removeEntry(pair.Key)
 		return
 	}
-	if known, ok := w.knownRevisions[pair.Key]; ok && known == pair.ModRevision {
+	if known := w.listed.byKey[pair.Key]; known != nil && known.revision == pair.ModRevision {
 		return // listed again after a watch delivered it
 	}
+	a, err := decodeEntry(pair)
+	if err != nil {
+		w.handler.RecordMalformed(errors.Wrapf(err, "entry %s", pair.Key))
+		return
+	}
+	added := &listedEntry{Announcement: a, key: pair.Key, revision: pair.ModRevision}
+	w.listed.put(added)
+	if w.listed.holder(a.Packets) == added {
+		w.handler.EntryAdded(a)
+	}
+}
+
+// decodeEntry decodes and validates an agent's entry.
+func decodeEntry(pair bramleyfall.KeyValue) (bramleyfall.Announcement, error) {
 	var a bramleyfall.Announcement
 	err := json.Unmarshal(pair.Value, &a)
 	if err == nil && (a.Instance != instanceFromKey(pair.Key) || a.Packets.IsZero() || a.Service == "") {
 		err = bramleyfall.Errorf(bramleyfall.MalformedMessage, "service or packet address missing, or instance differs from that of the key")
 	}
-	if err != nil {
-		w.handler.RecordMalformed(errors.Wrapf(err, "entry %s", pair.Key))
-		return
-	}
-	w.knownRevisions[pair.Key] = pair.ModRevision
-	w.handler.EntryAdded(a)
+	return a, err
 }
 
-// applyWithdrawal reports that an agent removed its entry, unless the entry has
-// been written again since. A restore may have undone that write, so a record that
-// may come from the copy is ignored.
-func (w *EntryWatcher) applyWithdrawal(pair bramleyfall.KeyValue) {
-	if bramleyfall.Revision(pair.ModRevision) <= w.restoredAt {
+// removeEntry applies the removal of an entry. Its agent has no entry any more unless it
+// has another one, or another agent uses its address now.
+func (w *EntryWatcher) removeEntry(key string) {
+	removed := w.listed.remove(key)
+	if removed == nil {
+		return // malformed, or removed already
+	}
+	if holder := w.listed.holder(removed.Packets); holder != nil {
+		if removed.startedAfter(holder) {
+			w.handler.EntryAdded(holder.Announcement)
+		}
 		return
 	}
-	key := string(pair.Value)
-	if w.knownRevisions[key] < pair.ModRevision {
-		w.handler.EntryWithdrawn(instanceFromKey(key))
+	w.handler.EntryMissing(removed.Instance)
+	for _, other := range w.listed.byInstance[removed.Instance] {
+		if w.listed.holder(other.Packets) == other {
+			w.handler.EntryAdded(other.Announcement)
+		}
+	}
+}
+
+// applyWithdrawals reports the agents that removed their entries, after the other changes
+// that were read with the records have been applied. An agent that has an entry has
+// written it again since, or the record is not its own. A restore may have undone that
+// write, so a record that may come from the copy is ignored.
+func (w *EntryWatcher) applyWithdrawals() {
+	for _, record := range w.withdrawals {
+		instance := instanceFromKey(string(record.Value))
+		if bramleyfall.Revision(record.ModRevision) > w.restoredAt && !w.listed.lists(instance) {
+			w.handler.EntryWithdrawn(instance)
+		}
 	}
+	w.withdrawals = nil
 }
--- a/directory/entries_watch.go
+++ b/directory/entries_watch.go
@@ -108,6 +108,7 @@
 			w.applyChange(change)
 		}
 	}
+	w.applyWithdrawals()
 	w.revision = max(w.revision, result.revision)
 	return count
 }
@@ -129,7 +130,7 @@
 	pause := minBatchPause
 	now := w.clock.Now()
 	if now.Sub(w.startedAt) >= longPauseMinAge && now.Sub(w.lastListAt) >= ListMaxAge {
-		pause = batchPause(changes, len(w.knownRevisions))
+		pause = batchPause(changes, len(w.listed.byKey))
 	}
 	return sleepUntil(ctx, pause, w.refresh)
 }
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -71,6 +71,8 @@
 	r.withdrawn = append(r.withdrawn, id)
 }
 
+func (r *eventRecorder) RecordMalformed(error) {}
+
 func (r *eventRecorder) ListMayBeIncomplete(reason error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
