Refuse a late checkpoint and checkpoints that refer to impossible revisions

A checkpoint was written without a condition, and a comment said that a late one does no harm. It does: it refers to older revisions than the one it replaces, the history since them may be gone, and the next checkpoints refer to it as the only later one. A balancer that starts then takes a list for complete by the changes of a single interval, not of three. The list of earlier ones had no bound, and a revision in the future made an empty history count as complete.

A checkpoint has the condition that the one its writer knows is still there; what is refused brings the present one, at no further call. Of two balancers that write at once one is refused, which spares a watch of each balancer. The revisions must be earlier ones of the same era in ascending order; the last three are used.

--- a/directory/checkpoint.go
+++ b/directory/checkpoint.go
@@ -50,6 +50,9 @@
 
 // checkpointState holds what an EntryWatcher knows about the checkpoints.
 type checkpointState struct {
+	// revision is the revision at which the store holds a checkpoint, or zero if it holds
+	// none.
+	revision int64
 	// last is the revision of the latest known checkpoint of the era, or zero.
 	last int64
 	// previous holds the revisions that the latest known checkpoint refers to.
@@ -68,19 +71,43 @@
 	s.next = now.Add(checkpointMinInterval + s.jitter(checkpointJitter))
 }
 
-// observe records a checkpoint that was read from the store.
+// observe records a checkpoint that was read from the store. A malformed one is not
+// referred to.
 func (s *checkpointState) observe(pair bramleyfall.KeyValue, now time.Time) error {
-	if pair.ModRevision == s.last {
+	if pair.Deleted {
+		s.revision, s.last, s.previous = 0, 0, nil
+		return nil
+	}
+	if pair.ModRevision == s.revision {
 		return nil // listed again
 	}
+	s.revision, s.last, s.previous = pair.ModRevision, 0, nil
+	s.reschedule(now)
 	var value checkpoint
-	err := json.Unmarshal(pair.Value, &value)
-	s.last, s.previous = pair.ModRevision, value.Previous
+	if err := json.Unmarshal(pair.Value, &value); err != nil {
+		return errors.Wrap(err, "mark")
+	}
 	if value.Era != bramleyfall.Revision(pair.ModRevision).Era() {
-		s.last, s.previous = 0, nil
+		return nil
 	}
-	s.reschedule(now)
-	return errors.Wrap(err, "mark")
+	if !validPrevious(value.Previous, pair.ModRevision) {
+		return bramleyfall.Errorf(bramleyfall.MalformedMessage, "mark at revision %d: the revisions %v are not earlier ones in ascending order", pair.ModRevision, value.Previous)
+	}
+	s.last, s.previous = pair.ModRevision, value.Previous[max(0, len(value.Previous)-maxPreviousCheckpoints):]
+	return nil
+}
+
+// validPrevious reports whether a checkpoint at a revision may refer to the given
+// revisions: ascending ones before it, of the same era.
+func validPrevious(previous []int64, revision int64) bool {
+	last := int64(bramleyfall.NewRevision(bramleyfall.Revision(revision).Era(), 0))
+	for _, p := range previous {
+		if p <= last {
+			return false
+		}
+		last = p
+	}
+	return last < revision
 }
 
 // untilNext returns the time until this process has to write a checkpoint.
@@ -96,8 +123,9 @@
 }
 
 // writeCheckpoint writes a checkpoint if one is due and no other process has
-// written it. Concurrent checkpoints refer to the same earlier ones, and a write
-// that takes effect late refers to older ones; neither does any harm.
+// written it. The condition refuses concurrent checkpoints but one, and a write that
+// takes effect late: it would refer to older revisions than the checkpoint it replaces,
+// from which the history may no longer be available.
 func (w *EntryWatcher) writeCheckpoint(ctx context.Context) error {
 	now := w.clock.Now()
 	if w.checkpoints.untilNext(now) > 0 {
@@ -108,6 +136,17 @@
 	if err != nil {
 		return err
 	}
-	_, err = w.store.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{{Key: checkpointKey, Value: value}}})
-	return err
+	result, err := w.store.Commit(ctx, bramleyfall.Txn{
+		Conditions: []bramleyfall.Condition{{Key: checkpointKey, ModRevision: w.checkpoints.revision}},
+		Writes:     []bramleyfall.Write{{Key: checkpointKey, Value: value}},
+	})
+	if err != nil || result.Committed {
+		return err
+	}
+	current := bramleyfall.KeyValue{Key: checkpointKey, Deleted: true}
+	if len(result.Current) > 0 {
+		current = result.Current[0]
+	}
+	w.applyChange(current)
+	return nil
 }
--- a/directory/entries.go
+++ b/directory/entries.go
@@ -274,6 +274,9 @@
 			w.applyChange(bramleyfall.KeyValue{Key: key, Deleted: true})
 		}
 	}
+	if !present[checkpointKey] {
+		w.applyChange(bramleyfall.KeyValue{Key: checkpointKey, Deleted: true})
+	}
 	w.applyWithdrawals()
 }
 
--- a/directory/entries_watch_test.go
+++ b/directory/entries_watch_test.go
@@ -35,8 +35,9 @@
 	// droppedUpTo is the last revision whose change is no longer retained.
 	droppedUpTo bramleyfall.Revision
 	backup      *memoryStore
-	// keepsCheckpoints makes Commit write.
+	// keepsCheckpoints makes Commit write, and lateBy delays its next write.
 	keepsCheckpoints bool
+	lateBy           time.Duration
 	unavailable      bool
 	// watchesStalled makes watches block until they are canceled; polls still work.
 	watchesStalled        bool
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"sync"
 	"testing"
@@ -45,15 +46,47 @@
 }
 
 // Commit writes checkpoints, which are the only writes of an EntryWatcher, if
-// keepsCheckpoints is set.
+// keepsCheckpoints is set. Instead of the next call, it writes after lateBy if that is
+// set, with an unknown outcome.
 func (m *memoryStore) Commit(_ context.Context, txn bramleyfall.Txn) (bramleyfall.TxnResult, error) {
 	if !m.keepsCheckpoints {
 		return bramleyfall.TxnResult{Committed: true}, nil
 	}
+	if delay := m.takeLateBy(); delay > 0 {
+		time.AfterFunc(delay, func() { m.commitIfUnchanged(txn) })
+		return bramleyfall.TxnResult{}, bramleyfall.ErrUnknownOutcome
+	}
+	return m.commitIfUnchanged(txn), nil
+}
+
+func (m *memoryStore) takeLateBy() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delay := m.lateBy
+	m.lateBy = 0
+	return delay
+}
+
+// commitIfUnchanged executes a transaction if its conditions hold.
+func (m *memoryStore) commitIfUnchanged(txn bramleyfall.Txn) bramleyfall.TxnResult {
+	m.mu.Lock()
+	var result bramleyfall.TxnResult
+	result.Committed = true
+	for _, c := range txn.Conditions {
+		pair, ok := m.entries[c.Key]
+		result.Committed = result.Committed && pair.ModRevision == c.ModRevision
+		if ok {
+			result.Current = append(result.Current, pair)
+		}
+	}
+	m.mu.Unlock()
+	if !result.Committed {
+		return result
+	}
 	for _, w := range txn.Writes {
 		m.putRecord(w.Key, string(w.Value))
 	}
-	return bramleyfall.TxnResult{Committed: true}, nil
+	return bramleyfall.TxnResult{Committed: true}
 }
 
 // eventRecorder records which agents are missing or withdrawn, and why a list may be
@@ -349,3 +382,26 @@
 	is.Equal(len(r.added), 2)
 	is.Equal(r.added[1].Instance, bramleyfall.InstanceID("agent-2"))
 }
+
+// Guards against balancers that take a list for complete that is not: a checkpoint written
+// late, by a balancer that may have ended, replaces a later one and refers to older
+// revisions, so that the next ones refer to few of the last seconds.
+func TestLateCheckpoint(t *testing.T) {
+	const markKey = "bramleyfall/mark"
+	m := newMemoryStore(3)
+	m.keepsCheckpoints = true
+	m.lateBy = 14 * time.Second
+	runEventWatcher(t, m, func(is *is.I, _ *eventRecorder) {
+		mark := func() (pair bramleyfall.KeyValue) {
+			m.update(func() { pair = m.entries[markKey] })
+			return pair
+		}
+		time.Sleep(19 * time.Second) // the first write is due after 4.5 to 6 s
+		before := mark()
+		is.True(before.ModRevision > 0)
+		time.Sleep(1500 * time.Millisecond) // the late write is due, the next one may be
+		var value struct{ Previous []int64 }
+		is.NoErr(json.Unmarshal(mark().Value, &value))
+		is.True(len(value.Previous) > 0)
+	})
+}
