Keep a late write of an ended balancer from replacing its successor's contact

The own interface had the fault of the agents' entries: a contact was registered and deleted without a condition, so that a write executed late, after its process had ended, moved the contact of the next process to a lease that nobody renews, or deleted it. The balancer went on renewing its lease; new balancers no longer found it.

A contact is read and changed on condition that it has not changed since; it is released only if it is attached to the process's own lease. A balancer that reads the contacts, as readers do with each renewal, and lacks its own registers it again (ContactLost). One call more for each registration and release, none for a renewal. The operators' writes needed nothing: each has the revisions of the head, the item and the change's id as conditions, also when lost changes are written again. The stand-in delays transactions until after others, and refuses those with a lease that has ended.

--- a/balancer/platform.go
+++ b/balancer/platform.go
@@ -24,7 +24,7 @@
 	var cancel context.CancelFunc
 	var lastRenewal time.Time
 	for ctx.Err() == nil {
-		s.updateContacts(ctx)
+		s.updateContacts(ctx, lease)
 		isReader := s.isReader()
 		switch {
 		case isReader && cancel == nil:
@@ -52,8 +52,9 @@
 
 // updateContacts reads the contacts from the platform while no other live balancer
 // is known. Readers read them again with each lease renewal, so that groups of
-// balancers that formed separately merge.
-func (s *server) updateContacts(ctx context.Context) {
+// balancers that formed separately merge. A contact of this balancer that is missing is
+// registered again with the next renewal.
+func (s *server) updateContacts(ctx context.Context, lease *etcd.Lease) {
 	noLivePeers := false
 	_ = s.controller.runTask(ctx, func() { noLivePeers = s.controller.node.NoLivePeers() })
 	if !noLivePeers && !s.contactsOutdated {
@@ -67,15 +68,20 @@
 		return
 	}
 	endpoints := slices.Clone(s.config.Peers)
-	otherDomainContacts := 0
+	otherDomainContacts, registered := 0, false
 	for _, c := range contacts {
 		if c.ID != s.config.ID {
 			endpoints = append(endpoints, c.Control)
 		}
+		registered = registered || c.ID == s.config.ID
 		if c.Domain != s.config.Domain {
 			otherDomainContacts++
 		}
 	}
+	if lease.Valid() && !registered {
+		s.telemetry.Log.Warn().Str("Event", "ContactLost").Str("Reason", "the store lacks the contact though its lease is valid").Msg("")
+		lease.Lost()
+	}
 	_ = s.controller.runTask(ctx, func() {
 		s.controller.forwarding.otherDomainsGone = otherDomainContacts == 0
 		s.controller.node.SetContacts(endpoints)
--- a/etcd/client.go
+++ b/etcd/client.go
@@ -104,7 +104,7 @@
 }
 
 func (kv *KeyValue) convert() bramleyfall.KeyValue {
-	return bramleyfall.KeyValue{Key: string(kv.Key), Value: kv.Value, ModRevision: kv.ModRevision}
+	return bramleyfall.KeyValue{Key: string(kv.Key), Value: kv.Value, ModRevision: kv.ModRevision, Lease: bramleyfall.LeaseID(kv.Lease)}
 }
 
 // Commit implements bramleyfall.KeyValueStore.
--- a/etcd/contact.go
+++ b/etcd/contact.go
@@ -12,6 +12,9 @@
 // whose lease has not been renewed for this long.
 const ContactTTL = 15 * time.Second
 
+// maxContactAttempts is the maximum number of transactions for one change of a contact.
+const maxContactAttempts = 3
+
 // ReadersPerDomain is the number of balancers of a failure domain that watch the
 // platform's store, however many balancers the domain has.
 const ReadersPerDomain = 3
@@ -70,6 +73,10 @@
 	return l.acquire(ctx, requested)
 }
 
+// Lost marks the lease as expired because its contact is missing from the store, so that
+// Renew registers the contact again.
+func (l *Lease) Lost() { l.expires = time.Time{} }
+
 func (l *Lease) acquire(ctx context.Context, requested time.Time) error {
 	id, err := l.store.Grant(ctx, ContactTTL)
 	if err != nil {
@@ -79,9 +86,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = l.store.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{
-		{Key: contactKey(l.domain, l.contact.ID), Value: value, Lease: id},
-	}})
+	err = l.commit(ctx, func(bramleyfall.KeyValue) *bramleyfall.Write {
+		return &bramleyfall.Write{Key: l.key(), Value: value, Lease: id}
+	})
 	if err != nil {
 		return err
 	}
@@ -90,11 +97,45 @@
 	return nil
 }
 
-// Release deletes the contact from the store and marks the lease as expired.
+// Release deletes the contact from the store, unless it is that of a later process, and
+// marks the lease as expired.
 func (l *Lease) Release(ctx context.Context) error {
 	l.expires = time.Time{}
-	_, err := l.store.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{
-		{Key: contactKey(l.domain, l.contact.ID), Delete: true},
-	}})
-	return err
+	return l.commit(ctx, func(current bramleyfall.KeyValue) *bramleyfall.Write {
+		if l.id == 0 || current.Lease != l.id {
+			return nil
+		}
+		return &bramleyfall.Write{Key: l.key(), Delete: true}
+	})
+}
+
+func (l *Lease) key() string { return contactKey(l.domain, l.contact.ID) }
+
+// commit executes the write that choose returns for the present state of the contact, on
+// condition that this has not changed. The store may execute a write whose response was
+// lost after the process has ended; the condition keeps it from moving the contact of the
+// next process to an old lease, or from deleting it.
+func (l *Lease) commit(ctx context.Context, choose func(current bramleyfall.KeyValue) *bramleyfall.Write) error {
+	for range maxContactAttempts {
+		pairs, _, err := l.store.Range(ctx, l.key(), "")
+		if err != nil {
+			return err
+		}
+		var current bramleyfall.KeyValue
+		if len(pairs) > 0 {
+			current = pairs[0]
+		}
+		write := choose(current)
+		if write == nil {
+			return nil
+		}
+		committed, err := l.store.Commit(ctx, bramleyfall.Txn{
+			Conditions: []bramleyfall.Condition{{Key: l.key(), ModRevision: current.ModRevision}},
+			Writes:     []bramleyfall.Write{*write},
+		})
+		if committed || err != nil {
+			return err
+		}
+	}
+	return bramleyfall.Errorf(bramleyfall.PlatformAway, "contact %s was changed by others in each of %d attempts", l.key(), maxContactAttempts)
 }
--- a/standin/etcd/server.go
+++ b/standin/etcd/server.go
@@ -19,6 +19,9 @@
 	// DropTxnResponses is the number of transactions that are executed but whose
 	// response is dropped.
 	DropTxnResponses int
+	// LateTxns is the number of transactions that are not executed before the next call
+	// of ExecuteLateTxns, and get no response.
+	LateTxns int
 	// OutageAfterDrops starts an outage with the last dropped response.
 	OutageAfterDrops bool
 }
@@ -30,6 +33,7 @@
 	faults        Faults
 	calls         map[string]int
 	outageStarted chan struct{}
+	lateTxns      []etcd.TxnRequest
 }
 
 // NewServer returns a server of store that injects no faults.
@@ -118,7 +122,34 @@
 	return etcd.RangeResponse{Header: etcd.ResponseHeader{Revision: revision}, KVs: kvs}
 }
 
+// ExecuteLateTxns executes the transactions that were delayed, whose senders may have
+// ended since.
+func (s *Server) ExecuteLateTxns() {
+	s.mu.Lock()
+	late := s.lateTxns
+	s.lateTxns = nil
+	s.mu.Unlock()
+	for _, r := range late {
+		s.store.Txn(r)
+	}
+}
+
+// delayTxn reports whether a transaction was put off until ExecuteLateTxns.
+func (s *Server) delayTxn(r etcd.TxnRequest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LateTxns == 0 {
+		return false
+	}
+	s.faults.LateTxns--
+	s.lateTxns = append(s.lateTxns, r)
+	return true
+}
+
 func (s *Server) serveTxn(r etcd.TxnRequest) any {
+	if s.delayTxn(r) {
+		return nil
+	}
 	ok, revision := s.store.Txn(r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/etcd/store.go
+++ b/standin/etcd/store.go
@@ -73,7 +73,7 @@
 }
 
 // Txn applies a transaction and reports whether its conditions were met, with the
-// revision after it.
+// revision after it. A transaction with a lease that has ended changes nothing.
 func (s *Store) Txn(r etcd.TxnRequest) (bool, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,6 +83,11 @@
 			return false, s.revision
 		}
 	}
+	for _, op := range r.Success {
+		if op.Put != nil && op.Put.Lease != 0 && s.leases[op.Put.Lease] == nil {
+			return false, s.revision
+		}
+	}
 	if len(r.Success) > 0 {
 		s.revision++
 	}
--- a/types.go
+++ b/types.go
@@ -162,8 +162,7 @@
 	Key         string
 	Value       []byte
 	ModRevision int64
-	// Lease is the lease to which the key is attached, or zero. KeyValueStore does not
-	// report it.
+	// Lease is the lease to which the key is attached, or zero.
 	Lease   LeaseID
 	Deleted bool
 }
