--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -303,6 +303,12 @@
 	}
 }
 
+func (m *machine) isReady() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ready
+}
+
 // sleep waits for the given duration. It returns false if the soak ends first.
 func (d *deployment) sleep(duration time.Duration) bool {
 	select {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -55,6 +56,21 @@
 	{"zone evacuated", 1, evacuateZone},
 }
 
+// faultsWithLateWrites make agents and balancers end while their writes to the store are
+// still to take effect.
+var faultsWithLateWrites = []fault{
+	{"late writes", 3, injectLateWrites},
+	{"balancer killed", 1, func(d *deployment, r *rand.Rand) { d.disturbBalancer(r, (*machine).killAndRestart) }},
+	{"balancer restarted", 1, func(d *deployment, r *rand.Rand) { d.disturbBalancer(r, (*machine).restart) }},
+	{"agent killed", 5, func(d *deployment, r *rand.Rand) { d.disturbAgent(r, (*machine).killAndRestart) }},
+	{"agent frozen", 1, func(d *deployment, r *rand.Rand) { d.disturbAgent(r, (*machine).freeze) }},
+	{"server killed", 2, func(d *deployment, r *rand.Rand) { d.disturbAgent(r, (*machine).replaceServer) }},
+	{"server left", 3, func(d *deployment, r *rand.Rand) { d.disturbAgent(r, (*machine).leaveAndReplaceServer) }},
+	{"agents killed together", 1, restartAllAgents},
+	{"leases revoked", 1, func(d *deployment, _ *rand.Rand) { d.store.RevokeLeases() }},
+	{"history dropped", 1, func(d *deployment, _ *rand.Rand) { d.store.DropHistory() }},
+}
+
 func pickFault(faults []fault, r *rand.Rand) *fault {
 	total := 0
 	for i := range faults {
@@ -143,6 +159,14 @@
 	m.startServer()
 }
 
+// leaveAndReplaceServer makes the server deregister, and starts another one at the same
+// address.
+func (m *machine) leaveAndReplaceServer(downtime time.Duration) {
+	m.server.Leave()
+	time.Sleep(downtime)
+	m.startServer()
+}
+
 func restartAllAgents(d *deployment, r *rand.Rand) {
 	downtime := randomDuration(r)
 	done := make(chan struct{})
@@ -171,6 +195,27 @@
 	d.markStoreDisturbed(0)
 }
 
+// maxLateWriteDelay is the longest delay of a late write.
+const maxLateWriteDelay = 6 * time.Second
+
+// injectLateWrites makes the store execute writes 1 to 6 s after their connections were
+// closed.
+func injectLateWrites(d *deployment, r *rand.Rand) {
+	const minDuration, minDelay = time.Second, time.Second
+	duration := minDuration + randomDuration(r)
+	var mu sync.Mutex // for r
+	d.store.SetLateWriteDelay(func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return minDelay + time.Duration(r.Int64N(int64(maxLateWriteDelay-minDelay)))
+	})
+	d.markStoreDisturbed(duration)
+	d.store.SetFault(platformtest.FaultLateWrite)
+	time.Sleep(duration)
+	d.store.SetFault(platformtest.FaultNone)
+	d.markStoreDisturbed(0)
+}
+
 // restoreStore makes the store fail and come back from an older copy. The operators
 // write their keys again some time later.
 func restoreStore(d *deployment, r *rand.Rand) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,7 +38,7 @@
 
 // TestSoak injects random faults, with the seed and the duration given by flags.
 func TestSoak(t *testing.T) {
-	soak(t, *seedFlag, time.Duration(*minutesFlag*float64(time.Minute)), faultsWithRestores)
+	soak(t, *seedFlag, time.Duration(*minutesFlag*float64(time.Minute)), faultsWithRestores, nil)
 }
 
 // TestSoakAroundRestores injects restores of the store, changes of the configuration and
@@ -46,7 +46,22 @@
 func TestSoakAroundRestores(t *testing.T) {
 	const minDuration = 12 * time.Second // about five restores
 	t.Parallel()
-	soak(t, *seedFlag, max(minDuration, time.Duration(*minutesFlag*float64(time.Minute))), faultsAroundRestores)
+	soak(t, *seedFlag, max(minDuration, time.Duration(*minutesFlag*float64(time.Minute))), faultsAroundRestores, nil)
+}
+
+// TestSoakWithLateWrites injects late writes of processes that end. When the last write has
+// taken effect and the leases of ended processes have expired, it restarts the balancers in
+// turn, so that they know only the agents whose entries are left.
+func TestSoakWithLateWrites(t *testing.T) {
+	const leaseTTL = 8 * time.Second
+	t.Parallel()
+	soak(t, *seedFlag, time.Duration(*minutesFlag*float64(time.Minute)), faultsWithLateWrites, func(d *deployment) {
+		time.Sleep(maxLateWriteDelay + leaseTTL)
+		for _, m := range d.balancers {
+			m.runDisturbance(time.Second, (*machine).restart)
+			d.await(m.id+" ready again", settleTime, m.isReady)
+		}
+	})
 }
 
 // regressions are seeds that have failed, with the cause of each failure.
@@ -76,15 +91,17 @@
 		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
 			t.Parallel()
 			if r.restores {
-				soak(t, r.seed, duration, faultsWithRestores)
+				soak(t, r.seed, duration, faultsWithRestores, nil)
 				return
 			}
-			soak(t, r.seed, duration, faults)
+			soak(t, r.seed, duration, faults, nil)
 		})
 	}
 }
 
-func soak(t *testing.T, seed uint64, duration time.Duration, faults []fault) {
+// soak injects faults for the given duration, then calls afterFaults unless it is nil, and
+// checks that the deployment recovers.
+func soak(t *testing.T, seed uint64, duration time.Duration, faults []fault, afterFaults func(*deployment)) {
 	d := newDeployment(t, seed, *agentsFlag)
 	d.await("first answers", settleTime, d.serves)
 	time.Sleep(time.Second) // until all instances have discovered each other
@@ -97,8 +114,20 @@
 	}
 	go d.loopVersions()
 	d.injectFaults(faults, rand.New(rand.NewPCG(seed, 0)), duration)
+	if afterFaults != nil {
+		afterFaults(d)
+	}
+	settledAt := time.Now()
 	d.await("service after the last fault", settleTime, d.serves)
 	d.await("entries of all agents", settleTime, func() bool { return len(d.store.Keys("bramleyfall/agents/")) == len(d.agents) })
+	d.await("renewed leases of all entries", settleTime, func() bool {
+		for _, key := range d.store.Keys("bramleyfall/agents/") {
+			if !d.store.RenewedSince(key, settledAt) {
+				return false
+			}
+		}
+		return true
+	})
 	d.await("the latest configuration", agentConfigTimeout, d.allConfigured)
 	close(d.stop)
 	callersDone.Wait()
@@ -130,7 +159,7 @@
 		faultRandom := rand.New(rand.NewPCG(r.Uint64(), 0))
 		d.Logf("%s %s", time.Now().UTC().Format("15:04:05.000"), next.name)
 		running.Go(func() {
-			if next.name == "store" || next.name == "store restored" {
+			if next.name == "store" || next.name == "store restored" || next.name == "late writes" {
 				storeMutex.Lock()
 				defer storeMutex.Unlock()
 			}
