Limit the numbers of heartbeats and configurations to what other processes represent

What one process reads of another was converted without limits: a cold_remaining_ms of 1e308 became a different duration on x86-64 and on arm64, slots above 65,535 were cut to 16 bits on their way to balancers (65,536 to none), born times a million wrapped, weights and times of a configuration were converted from any floating-point number.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -179,7 +179,7 @@
 func (g *Gate) Load(now time.Time) bramleyfall.Load {
 	return bramleyfall.Load{
 		State:       g.State(now),
-		Slots:       uint16(g.upstream.slots),
+		Slots:       uint16(min(g.upstream.slots, bramleyfall.MaxSlots)),
 		Busy:        uint16(min(g.activeRequests, 1<<16-1)),
 		Flows:       uint16(min(g.openFlows, 1<<16-1)),
 		Utilization: g.meanActive.permille(now, g.activeRequests, g.upstream.slots),
--- a/heartbeat.go
+++ b/heartbeat.go
@@ -1,6 +1,13 @@
 package bramleyfall
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// MaxSlots is the largest number of slots of an upstream that messages between agents and
+// balancers can represent.
+const MaxSlots = math.MaxUint16
 
 // Heartbeat is a status report from an upstream to its agent.
 type Heartbeat struct {
--- a/types.go
+++ b/types.go
@@ -35,20 +35,23 @@
 // later era is greater than those of earlier eras.
 type Revision uint64
 
-// revisionNumberBits is the number of bits of a Revision below its era. The era has
-// 15 bits, so that a Revision also fits into an int64.
-const revisionNumberBits = 48
+// RevisionNumberBits is the number of bits of a Revision below its era, and EraBits that of
+// the era, so that a Revision also fits into an int64.
+const (
+	RevisionNumberBits = 48
+	EraBits            = 15
+)
 
 // NewRevision returns the revision with the given number in an era.
 func NewRevision(era Era, number uint64) Revision {
-	return Revision(uint64(era)<<revisionNumberBits | number)
+	return Revision(uint64(era)<<RevisionNumberBits | number)
 }
 
 // Era returns the era of a revision of the store.
-func (r Revision) Era() Era { return Era(r >> revisionNumberBits) }
+func (r Revision) Era() Era { return Era(r >> RevisionNumberBits) }
 
 // Number returns the number that the store assigned to the revision in its era.
-func (r Revision) Number() uint64 { return uint64(r) & (1<<revisionNumberBits - 1) }
+func (r Revision) Number() uint64 { return uint64(r) & (1<<RevisionNumberBits - 1) }
 
 // BootID identifies one run of a process. It is the start time in nanoseconds
 // since the Unix epoch, so later runs have greater values.
