Go on following the operators' changes after a malformed configuration

A configuration that can't be decoded, for instance with one port out of range, ended the watch; the process then listed everything again twice a second, and followed neither evacuations nor, until the next version, anything else. It now leaves the known configuration in force, logs Malformed, and goes on from the next revision.

--- a/agent/direct.go
+++ b/agent/direct.go
@@ -57,5 +57,5 @@
 func newDirectRunner(c directSettings, t *telemetry.Telemetry) (direct.Runner, error) {
 	store := platform.NewClient(c.Store, platform.WithObserver(t.ObserveStoreCall), platform.WithRestoreObserver(t.ObserveRestore))
 	return direct.NewAgent(c.AgentConfig, bramleyfall.SystemClock(), platform.PacketCodec{}, store,
-		platform.NewConfigurationSource(store), platform.UpstreamHandler, t)
+		platform.NewConfigurationSource(store, platform.WithMalformedObserver(direct.LogMalformed(t))), platform.UpstreamHandler, t)
 }
--- a/balancer/direct.go
+++ b/balancer/direct.go
@@ -44,5 +44,5 @@
 
 func newDirectRunner(c directSettings, t *telemetry.Telemetry) (direct.Runner, error) {
 	store := platform.NewClient(c.Store, platform.WithObserver(t.ObserveStoreCall), platform.WithRestoreObserver(t.ObserveRestore))
-	return direct.NewBalancer(c.BalancerConfig, bramleyfall.SystemClock(), platform.PacketCodec{}, store, platform.NewConfigurationSource(store), t)
+	return direct.NewBalancer(c.BalancerConfig, bramleyfall.SystemClock(), platform.PacketCodec{}, store, platform.NewConfigurationSource(store, platform.WithMalformedObserver(direct.LogMalformed(t))), t)
 }
--- a/direct/dependency.go
+++ b/direct/dependency.go
@@ -5,6 +5,14 @@
 	"bramleyfall.example/bramleyfall/telemetry"
 )
 
+// LogMalformed returns a function that logs why a message was ignored.
+func LogMalformed(t *telemetry.Telemetry) func(error) {
+	return func(err error) {
+		t.Counter("bramleyfall_malformed_messages_total").Inc()
+		t.Log.Warn().Str("Event", "Malformed").Str("Reason", err.Error()).Msg("")
+	}
+}
+
 // dependency logs when calls to a dependency, such as the store, begin to fail, when
 // the kind of failure changes, and when they succeed again.
 type dependency struct {
