Take an agent's entry only under its own key, and ask an agent whose entry was overwritten

The value of an entry was compared with its key by the instance alone: an entry by another writer could give any agent's name another address or service, and numbers out of range went on to placement. An agent whose entry another writer had replaced with something malformed was unknown to balancers that started later, and never learned of it.

Service, address and instance must be those of the key, the boot ID and slots within their ranges. A malformed entry under a key that names an agent counts as missing there, so that the agent is asked, reads its entry and writes it again.

TestEntries had entries under keys without an address, which no agent has ever written; its rows now have the real form, and each says whether the agent is asked. FuzzEntry checks the same.

--- a/bench/static_store.go
+++ b/bench/static_store.go
@@ -30,7 +30,7 @@
 	value, err := json.Marshal(bramleyfall.Announcement{
 		Instance: "agent", Upstream: "upstream", Boot: 1, Service: benchService, Domain: benchDomain, Packets: s.address, Slots: 1,
 	})
-	return []bramleyfall.KeyValue{{Key: prefix + string(benchService) + "/agent", Value: value, ModRevision: 1}}, 1, err
+	return []bramleyfall.KeyValue{{Key: prefix + "agents/" + string(benchService) + "/" + s.address.String() + "/agent", Value: value, ModRevision: 1}}, 1, err
 }
 
 // Await implements bramleyfall.LongPollStore.
--- a/directory/entries.go
+++ b/directory/entries.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -312,6 +313,7 @@
 	a, err := decodeEntry(pair)
 	if err != nil {
 		w.handler.RecordMalformed(errors.Wrapf(err, "entry %s", pair.Key))
+		w.reportOverwritten(pair.Key)
 		return
 	}
 	added := &listedEntry{Announcement: a, key: pair.Key, revision: pair.ModRevision}
@@ -324,11 +326,35 @@
 // decodeEntry decodes and validates an agent's entry.
 func decodeEntry(pair bramleyfall.KeyValue) (bramleyfall.Announcement, error) {
 	var a bramleyfall.Announcement
-	err := json.Unmarshal(pair.Value, &a)
-	if err == nil && (a.Instance != instanceFromKey(pair.Key) || a.Packets.IsZero() || a.Service == "") {
-		err = bramleyfall.Errorf(bramleyfall.MalformedMessage, "service or packet address missing, or instance differs from that of the key")
+	if err := json.Unmarshal(pair.Value, &a); err != nil {
+		return a, err
 	}
-	return a, err
+	if a.Packets.IsZero() || a.Packets.Port == 0 || a.Service == "" || agentKey(&a) != pair.Key {
+		return a, bramleyfall.Errorf(bramleyfall.MalformedMessage, "service, packet address or instance missing, or different from that of the key")
+	}
+	if a.Boot > math.MaxInt64 || a.Slots < 0 || a.Slots > bramleyfall.MaxSlots {
+		return a, bramleyfall.Errorf(bramleyfall.MalformedMessage, "boot ID or slots out of range")
+	}
+	return a, nil
+}
+
+// reportOverwritten reports an agent as missing whose entry another writer has replaced
+// with a malformed value, so that the agent is asked and writes its entry again. The key of
+// a malformed entry names no agent if an entry with its address or instance is listed.
+func (w *EntryWatcher) reportOverwritten(key string) {
+	if known := w.listed.byKey[key]; known != nil {
+		if w.listed.holder(known.Packets) == known {
+			w.handler.EntryMissing(known.Instance)
+		}
+		return
+	}
+	a, err := parseKey(key)
+	if err != nil || a.Packets.IsZero() || a.Packets.Port == 0 || a.Instance == "" || a.Service == "" ||
+		w.listed.holder(a.Packets) != nil || w.listed.lists(a.Instance) {
+		return
+	}
+	w.handler.EntryAdded(a)
+	w.handler.EntryMissing(a.Instance)
 }
 
 // removeEntry applies the removal of an entry. Its agent has no entry any more unless it
--- a/directory/entries_test.go
+++ b/directory/entries_test.go
@@ -5,9 +5,12 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"bramleyfall.example/bramleyfall"
 	"bramleyfall.example/bramleyfall/directory"
 )
@@ -275,42 +278,87 @@
 const goodEntry = `{"Instance":"agent-1","Upstream":"i-1","Boot":7,"Service":"railbook","Domain":"Ikeja",` +
 	`"Packets":"10.0.0.1:8000","Slots":4}`
 
+// Guards against entries of other writers: they name no agent. The agent whose entry one of
+// them may have replaced is asked, since it would write its entry again.
 func TestEntries(t *testing.T) {
+	const key = "railbook/10.0.0.1:8000/agent-1"
+	const numbers = `{"Instance":"agent-1","Boot":%s,"Service":"railbook","Packets":"10.0.0.1:8000","Slots":%s}`
 	tests := []struct {
 		name, key, value string
-		valid            bool
+		valid, asked     bool
 	}{
-		{"a valid entry", "railbook/agent-1", goodEntry, true},
-		{"under the key of another agent", "railbook/agent-2", goodEntry, false},
-		{"not an object", "railbook/agent-1", `7`, false},
-		{"invalid UTF-8", "railbook/agent-1", "\xff", false},
-		{"without an address", "railbook/agent-1", `{"Instance":"agent-1","Service":"railbook"}`, false},
-		{"with a bad address", "railbook/agent-1", `{"Instance":"agent-1","Service":"railbook","Packets":"nowhere"}`, false},
-		{"without a service", "railbook/agent-1", `{"Instance":"agent-1","Packets":"10.0.0.1:8000"}`, false},
+		{"a valid entry", key, goodEntry, true, false},
+		{"numbers at their limits", key, fmt.Sprintf(numbers, "9223372036854775807", "65535"), true, false},
+		{"under the key of another agent", "railbook/10.0.0.1:8000/agent-2", goodEntry, false, true},
+		{"under the key of another address", "railbook/10.0.0.2:8000/agent-1", goodEntry, false, true},
+		{"under the key of another service", "drawhub/10.0.0.1:8000/agent-1", goodEntry, false, true},
+		{"under a key without an address", "railbook/agent-1", goodEntry, false, false},
+		{"under a key with a port out of range", "railbook/10.0.0.1:65536/agent-1", goodEntry, false, false},
+		{"under a key without a service", "/10.0.0.1:8000/agent-1", goodEntry, false, false},
+		{"under a key with port zero", "railbook/10.0.0.1:0/agent-1", goodEntry, false, false},
+		{"under a key with an IPv6 address", "railbook/[::1]:8000/agent-1", goodEntry, false, false},
+		{"not an object", key, `7`, false, true},
+		{"empty", key, ``, false, true},
+		{"invalid UTF-8", key, "\xff", false, true},
+		{"nested deeply", key, `{"Instance":` + strings.Repeat("[", 1<<15) + strings.Repeat("]", 1<<15) + `}`, false, true},
+		{"without an address", key, `{"Instance":"agent-1","Service":"railbook"}`, false, true},
+		{"with a bad address", key, `{"Instance":"agent-1","Service":"railbook","Packets":"nowhere"}`, false, true},
+		{"with a port out of range", key, `{"Instance":"agent-1","Service":"railbook","Packets":"10.0.0.1:65536"}`, false, true},
+		{"without a service", key, `{"Instance":"agent-1","Packets":"10.0.0.1:8000"}`, false, true},
+		{"boot ID above the range", key, fmt.Sprintf(numbers, "9223372036854775808", "2"), false, true},
+		{"boot ID out of the type", key, fmt.Sprintf(numbers, "18446744073709551616", "2"), false, true},
+		{"slots above the range", key, fmt.Sprintf(numbers, "7", "65536"), false, true},
+		{"slots out of the type", key, fmt.Sprintf(numbers, "7", "1e30"), false, true},
+		{"negative slots", key, fmt.Sprintf(numbers, "7", "-1"), false, true},
+		{"foreign types", key, `{"Instance":["agent-1"],"Boot":"7","Service":{},"Packets":8000}`, false, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			r := watchEntry(test.key, []byte(test.value))
-			if got := len(r.added) == 1; got != test.valid || len(r.added)+len(r.malformed) != 1 {
-				t.Fatalf("added %v, malformed %v", r.added, r.malformed)
-			}
+			is := is.New(t)
+			is.Equal(len(r.malformed) == 0, test.valid)
+			is.Equal(len(r.added) == 1, test.valid || test.asked)
+			is.Equal(len(r.missing) == 1, test.asked)
 		})
 	}
 }
 
+// FuzzEntry checks that each entry is reported as an agent or as malformed. A malformed one
+// at most makes the agent that its key names be asked.
 func FuzzEntry(f *testing.F) {
-	f.Add("railbook/agent-1", []byte(goodEntry))
+	f.Add("railbook/10.0.0.1:8000/agent-1", []byte(goodEntry))
+	f.Add("railbook/10.0.0.1:8000/agent-1", []byte(`{"Slots":65536,"Boot":18446744073709551615}`))
 	f.Add("agent-1", []byte(`{"Instance":"agent-1"}`))
 	f.Add("", []byte(`{}`))
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
 		r := watchEntry(key, value)
-		if len(r.added)+len(r.malformed) != 1 {
-			t.Fatalf("added %v, malformed %v", r.added, r.malformed)
+		valid := len(r.malformed) == 0
+		if len(r.malformed) > 1 || len(r.added) > 1 || valid && len(r.added) != 1 || !valid && len(r.missing) != len(r.added) || valid && len(r.missing) > 0 {
+			t.Fatalf("added %v, malformed %v, missing %v", r.added, r.malformed, r.missing)
 		}
 		for _, a := range r.added {
-			if a.Instance == "" && key != "" || a.Packets.IsZero() || a.Service == "" {
+			if a.Instance == "" || a.Packets.IsZero() || a.Service == "" || a.Slots < 0 || a.Slots > bramleyfall.MaxSlots || int64(a.Boot) < 0 {
 				t.Fatalf("%+v", a)
 			}
 		}
 	})
 }
+
+// FuzzCheckpoint checks that a checkpoint of any content is either usable or malformed, and
+// that what it refers to causes few calls.
+func FuzzCheckpoint(f *testing.F) {
+	f.Add(`{"Previous":[800,900]}`)
+	f.Add(`{"Previous":[-9223372036854775808,9223372036854775807],"Era":32768}`)
+	f.Add(`{"Previous":[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20]}`)
+	f.Add(`{"Previous":[998]}`)
+	f.Fuzz(func(t *testing.T, checkpoint string) {
+		ctx, cancel := context.WithCancel(context.Background())
+		r := &recorder{onList: cancel}
+		s := &fixedStore{key: "railbook/10.0.0.1:8000/agent-1", value: []byte(goodEntry), checkpoint: checkpoint, historyLost: true}
+		directory.NewEntryWatcher(s, bramleyfall.SystemClock(), r, func(error) {}).Run(ctx)
+		const maxPolls = 3 + 10 // the earlier checkpoints, and the search of the history
+		if len(r.added) != 1 || len(r.incomplete) != 1 || s.polls > maxPolls {
+			t.Fatalf("added %v, incomplete %v, %d calls for the history", r.added, r.incomplete, s.polls)
+		}
+	})
+}
--- a/directory/entry_set_test.go
+++ b/directory/entry_set_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +28,13 @@
 	m.history = append(m.history, bramleyfall.KeyValue{Key: key, ModRevision: int64(m.revision), Deleted: true})
 }
 
+// agents returns the number of agents that were reported.
+func (r *eventRecorder) agents() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.addedAt)
+}
+
 // Guards against the loss of an agent by the changes of other keys: a late write puts the
 // entry of an agent that has ended after that of the one that now uses its address, and
 // another writer's records name a living agent.
@@ -69,12 +77,30 @@
 				missing, withdrawn, _ := r.counts()
 				is.Equal(missing, 0)
 				is.Equal(withdrawn, 0)
-				is.Equal(len(r.addedAt), 1)
+				is.Equal(r.agents(), 1)
 			})
 		})
 	}
 }
 
+// Guards against an agent that never learns that another writer has replaced its entry: it
+// is reported missing until the entry is valid again.
+func TestOverwrittenEntryIsMissing(t *testing.T) {
+	m := newMemoryStore(0)
+	key := m.putEntryOf("agent-1", "railbook", 2)
+	runEventWatcher(t, m, func(is *is.I, r *eventRecorder) {
+		time.Sleep(2 * time.Second)
+		m.putRecord(key, strings.Repeat("[", 1<<15))
+		time.Sleep(2 * time.Second)
+		missing, _, _ := r.counts()
+		is.Equal(missing, 1)
+		at := time.Now()
+		m.putEntryOf("agent-1", "railbook", 2)
+		time.Sleep(2 * time.Second)
+		is.True(!r.addedTime(1).Before(at))
+	})
+}
+
 // Guards against a balancer that goes on with the entry of an agent that has ended when
 // another entry of the address remains.
 func TestRemainingEntryOfAnAddress(t *testing.T) {
@@ -90,6 +116,6 @@
 		time.Sleep(2 * time.Second)
 		missing, _, _ := r.counts()
 		is.Equal(missing, 0)
-		is.True(r.addedTime(1).After(at))
+		is.True(!r.addedTime(1).Before(at))
 	})
 }
--- a/directory/late_write_test.go
+++ b/directory/late_write_test.go
@@ -87,24 +87,38 @@
 // or replaced the entry is unknown, but balancers report that it is missing.
 func TestMissingEntryIsWrittenAgain(t *testing.T) {
 	const propagationTime = 2 * time.Second
-	is := is.New(t)
-	s := platformtest.NewStore(t)
-	conflicts := make(chan bramleyfall.KeyValue, 10)
-	p := startAgentProcess(t, s, directory.WithConflictObserver(func(_, found bramleyfall.KeyValue) { conflicts <- found }))
-	p.SetEntry(agentEntry(1))
-	time.Sleep(commitTime)
-	keys := s.Keys(entryPrefix)
-	is.Equal(len(keys), 1)
-	s.Delete(keys[0])
-	p.ReportMissing()
-	time.Sleep(commitTime)
-	is.Equal(s.Lists(), 0) // balancers may not know yet what was written just before
-	is.Equal(s.Writes(), 2)
-	time.Sleep(propagationTime)
-	p.ReportMissing()
-	time.Sleep(commitTime)
-	is.Equal(s.Keys(entryPrefix), keys)
-	is.Equal((<-conflicts).ModRevision, int64(0))
+	tests := []struct {
+		name    string
+		disturb func(s *platformtest.Store, key string)
+	}{
+		{"removed", func(s *platformtest.Store, key string) { s.Delete(key) }},
+		{"replaced by another writer", func(s *platformtest.Store, key string) { s.Put(key, "7") }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := platformtest.NewStore(t)
+			conflicts := make(chan bramleyfall.KeyValue, 10)
+			p := startAgentProcess(t, s, directory.WithConflictObserver(func(expected, _ bramleyfall.KeyValue) { conflicts <- expected }))
+			p.SetEntry(agentEntry(1))
+			time.Sleep(commitTime)
+			keys := s.Keys(entryPrefix)
+			is.Equal(len(keys), 1)
+			value, lease := s.Value(keys[0]), s.Lease(keys[0])
+			test.disturb(s, keys[0])
+			p.ReportMissing()
+			time.Sleep(commitTime)
+			is.Equal(s.Lists(), 0) // balancers may not know yet what was written just before
+			is.Equal(s.Writes(), 2)
+			time.Sleep(propagationTime)
+			p.ReportMissing()
+			time.Sleep(commitTime)
+			is.Equal(s.Value(keys[0]), value)
+			is.Equal(s.Lease(keys[0]), lease)
+			is.Equal(int64((<-conflicts).Lease), lease)
+		})
+	}
 }
 
 // Guards against additional calls to the store. Only a process that finds the entry of an
