Check the configuration that a peer sends before it is used

A peer's answer was decoded and applied as it came: a null route ended the process at the next version with that route (Placer.Configure dereferences it), revisions of 2^63 and more, which order wrongly as signed numbers, and negative or huge durations went on to decisions, and the size had no limit.

--- a/direct/peers.go
+++ b/direct/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,8 @@
 	// fetchTimeout is the time limit for fetching a peer's configuration: several
 	// round trips and the transfer of some hundred kilobytes.
 	fetchTimeout = time.Second
+	// maxConfigurationBytes limits the configuration that is read from a peer.
+	maxConfigurationBytes = 16 << 20
 )
 
 // peers exchanges the configuration with other instances, so that an instance
@@ -48,11 +51,20 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, bramleyfall.Errorf(bramleyfall.PeerAway, "%s: %s", peer, response.Status)
 	}
-	var s bramleyfall.Snapshot
-	if err := json.NewDecoder(response.Body).Decode(&s); err != nil {
+	s, err := decodeSnapshot(io.LimitReader(response.Body, maxConfigurationBytes))
+	if err != nil {
 		return nil, bramleyfall.Errorf(bramleyfall.MalformedMessage, "configuration of %s: %v", peer, err)
 	}
-	return &s, nil
+	return s, nil
+}
+
+// decodeSnapshot reads and validates a peer's configuration.
+func decodeSnapshot(r io.Reader) (*bramleyfall.Snapshot, error) {
+	var s bramleyfall.Snapshot
+	if err := json.NewDecoder(r).Decode(&s); err != nil {
+		return nil, err
+	}
+	return &s, s.Validate()
 }
 
 // handler returns a handler that serves the metrics and the configuration.
--- a/snapshot.go
+++ b/snapshot.go
@@ -1,6 +1,9 @@
 package bramleyfall
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Priority ranks requests when capacity is scarce. Zero is the highest priority.
 type Priority uint8
@@ -56,6 +59,35 @@
 	IdleTimeout time.Duration
 }
 
+const (
+	// MaxInterval limits the durations in a configuration, so that sums of them do not
+	// overflow.
+	MaxInterval = 24 * time.Hour
+	// MaxColdRate limits the request rate of a cold upstream, in requests per second.
+	MaxColdRate = 1e6
+)
+
+// Validate returns an error with code MalformedMessage if the snapshot, which another
+// process sent, has a route without an address or target, or a number out of its range.
+func (s *Snapshot) Validate() error {
+	if s.Version == 0 || s.Revision > math.MaxInt64 || s.Changed > math.MaxInt64 || !validInterval(s.IdleTimeout) {
+		return Errorf(MalformedMessage, "version, revision or idle timeout is missing or out of range")
+	}
+	for address, route := range s.Routes {
+		if route == nil || route.Address != address || len(route.Targets) == 0 || !validInterval(route.Objective) {
+			return Errorf(MalformedMessage, "route to %s has no address, target or valid objective", address)
+		}
+	}
+	for name, limits := range s.Services {
+		if !validInterval(limits.ColdFor) || !(limits.ColdRate >= 0 && limits.ColdRate <= MaxColdRate) {
+			return Errorf(MalformedMessage, "limits of service %s are out of range", name)
+		}
+	}
+	return nil
+}
+
+func validInterval(d time.Duration) bool { return d >= 0 && d <= MaxInterval }
+
 // Allows reports whether service may receive new flows to address.
 func (s *Snapshot) Allows(address Endpoint, service ServiceName) bool {
 	route := s.Routes[address]
