Follow the platform's configuration past records of other writers on the own interface

A reader took each record under its prefixes for one of the project's: one that could not be decoded ended every attempt to catch up (NotAccepted), so that nobody followed the configuration any more; one with a huge revision made all later changes look old, and the store rolled back. The watch dropped such a record silently.

A change must stand under the key of its revision, an item under its own key. Contacts must stand under their own key and have a port.

--- a/admission/message_fuzz_test.go
+++ b/admission/message_fuzz_test.go
@@ -14,7 +14,8 @@
 func FuzzBalancerMessage(f *testing.F) {
 	for _, m := range []tunnel.Message{
 		{Kind: tunnel.Forward, Version: 1<<64 - 1, Priority: 255, Objective: 65535 * time.Millisecond, LastResort: true},
-		{Kind: tunnel.TentativeForward, Changed: 1<<64 - 1}, {Kind: tunnel.Lookup, Ack: 1<<32 - 1},
+		{Kind: tunnel.TentativeForward, Changed: 1<<64 - 1},
+		{Kind: tunnel.Lookup, Ack: 1<<32 - 1},
 	} {
 		f.Add(tunnel.Append(nil, &m), uint8(0))
 	}
--- a/balancer/changes.go
+++ b/balancer/changes.go
@@ -66,6 +66,11 @@
 	}
 }
 
+// RecordMalformed implements etcd.ChangeHandler.
+func (c *controller) RecordMalformed(err error) {
+	c.telemetry.Log.Warn().Str("Event", "Malformed").Str("Reason", err.Error()).Msg("")
+}
+
 // SetPlatformError implements etcd.ChangeHandler.
 func (c *controller) SetPlatformError(err error) {
 	_ = c.runTask(context.Background(), func() {
--- a/etcd/contact.go
+++ b/etcd/contact.go
@@ -19,8 +19,7 @@
 // platform's store, however many balancers the domain has.
 const ReadersPerDomain = 3
 
-// Contacts returns the registered contacts. Entries that can't be decoded are
-// skipped.
+// Contacts returns the registered contacts. Malformed entries are skipped.
 func Contacts(ctx context.Context, store bramleyfall.KeyValueStore) ([]Contact, error) {
 	pairs, _, err := store.Range(ctx, contactPrefix, PrefixEnd(contactPrefix))
 	if err != nil {
@@ -29,7 +28,7 @@
 	contacts := make([]Contact, 0, len(pairs))
 	for _, pair := range pairs {
 		var c Contact
-		if json.Unmarshal(pair.Value, &c) == nil {
+		if json.Unmarshal(pair.Value, &c) == nil && contactKey(c.Domain, c.ID) == pair.Key && c.Control.Port != 0 {
 			contacts = append(contacts, c)
 		}
 	}
--- a/etcd/reader.go
+++ b/etcd/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -33,6 +34,8 @@
 	// HandleChanges receives changes up to a configuration revision. If full is set,
 	// changes is a snapshot of the whole configuration at that revision.
 	HandleChanges(changes []bramleyfall.Change, full bool, revision bramleyfall.Revision)
+	// RecordMalformed is called when a record that another process wrote cannot be used.
+	RecordMalformed(err error)
 	// SetPlatformError receives the error of the last read or watch, or nil after
 	// a successful read.
 	SetPlatformError(err error)
@@ -85,7 +88,7 @@
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchDone := make(chan error, 1)
-	go r.watchChanges(watchCtx, watchDone)
+	go func() { watchDone <- r.watchChanges(watchCtx, cancel) }()
 	if err := r.CatchUp(ctx); err != nil {
 		return err
 	}
@@ -93,16 +96,27 @@
 	return <-watchDone
 }
 
-func (r *Reader) watchChanges(ctx context.Context, done chan<- error) {
-	done <- r.store.Watch(ctx, changePrefix, func(p bramleyfall.KeyValue) {
-		if p.Deleted {
+// watchChanges passes on changes until the watch breaks. It ends the watch after a
+// malformed change, so that the snapshot that is read next closes the gap.
+func (r *Reader) watchChanges(ctx context.Context, cancel context.CancelFunc) error {
+	var malformed error
+	err := r.store.Watch(ctx, changePrefix, func(p bramleyfall.KeyValue) {
+		if p.Deleted || malformed != nil {
 			return
 		}
-		var c bramleyfall.Change
-		if json.Unmarshal(p.Value, &c) == nil {
-			r.handler.HandleChanges([]bramleyfall.Change{c}, false, c.Revision)
+		c, err := decodeChange(p)
+		if err != nil {
+			malformed = err
+			r.handler.RecordMalformed(err)
+			cancel()
+			return
 		}
+		r.handler.HandleChanges([]bramleyfall.Change{c}, false, c.Revision)
 	})
+	if malformed != nil {
+		return malformed
+	}
+	return err
 }
 
 // CatchUp reads the changes after the known revision, or a full snapshot if the
@@ -119,10 +133,11 @@
 	if latest.Revision < known {
 		return r.rewriteLostChanges(ctx, latest.Revision, known)
 	}
-	changes, err := readChanges(ctx, r.store, changeKey(max(known, 1)), PrefixEnd(changePrefix))
+	changes, malformed, err := readChanges(ctx, r.store, changeKey(max(known, 1)), PrefixEnd(changePrefix))
 	if err != nil {
 		return err
 	}
+	r.recordMalformed(malformed)
 	if len(changes) > 0 && changes[0].Revision == known {
 		if lastID != "" && changes[0].ID != lastID {
 			return rolledBackError(latest.Revision, known)
@@ -132,7 +147,7 @@
 	if len(changes) == 0 && known == latest.Revision {
 		return nil
 	}
-	if len(changes) > 0 && changes[0].Revision == known+1 {
+	if len(changes) > 0 && changes[0].Revision == known+1 && len(malformed) == 0 {
 		r.handler.HandleChanges(changes, false, changes[len(changes)-1].Revision)
 		return nil
 	}
@@ -154,7 +169,7 @@
 		if err != nil {
 			return err
 		}
-		items, err := readChanges(ctx, r.store, itemPrefix, PrefixEnd(itemPrefix))
+		items, malformed, err := readItems(ctx, r.store)
 		if err != nil {
 			return err
 		}
@@ -162,10 +177,15 @@
 		if err != nil {
 			return err
 		}
-		if before.Revision == after.Revision {
-			r.handler.HandleChanges(items, true, after.Revision)
-			return nil
+		if before.Revision != after.Revision {
+			continue
 		}
+		r.recordMalformed(malformed)
+		if len(malformed) == 0 && latestOf(items) != after.Revision {
+			return bramleyfall.Errorf(bramleyfall.MalformedMessage, "the platform is at revision %d, but the latest change of an item is %d", after.Revision, latestOf(items))
+		}
+		r.handler.HandleChanges(items, true, after.Revision)
+		return nil
 	}
 	return bramleyfall.Errorf(bramleyfall.PlatformAway, "no consistent snapshot: the configuration changed during each of %d reads", maxAttempts)
 }
@@ -187,19 +207,71 @@
 	return latest, pairs[0].ModRevision, err
 }
 
-// readChanges returns the changes stored under the keys in [from, to).
-func readChanges(ctx context.Context, store bramleyfall.KeyValueStore, from, to string) ([]bramleyfall.Change, error) {
+func (r *Reader) recordMalformed(malformed []error) {
+	for _, err := range malformed {
+		r.handler.RecordMalformed(err)
+	}
+}
+
+// latestOf returns the greatest revision of the given changes, or zero.
+func latestOf(changes []bramleyfall.Change) bramleyfall.Revision {
+	latest := bramleyfall.Revision(0)
+	for i := range changes {
+		latest = max(latest, changes[i].Revision)
+	}
+	return latest
+}
+
+// readChanges returns the changes stored under the keys of changes in [from, to), and an
+// error for each that is malformed.
+func readChanges(ctx context.Context, store bramleyfall.KeyValueStore, from, to string) (changes []bramleyfall.Change, malformed []error, err error) {
 	pairs, _, err := store.Range(ctx, from, to)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	changes := make([]bramleyfall.Change, 0, len(pairs))
+	changes = make([]bramleyfall.Change, 0, len(pairs))
 	for _, pair := range pairs {
-		var c bramleyfall.Change
-		if err := json.Unmarshal(pair.Value, &c); err != nil {
-			return nil, bramleyfall.Errorf(bramleyfall.NotAccepted, "key %s: %v", pair.Key, err)
+		c, err := decodeChange(pair)
+		if err != nil {
+			malformed = append(malformed, err)
+			continue
 		}
 		changes = append(changes, c)
 	}
-	return changes, nil
+	return changes, malformed, nil
+}
+
+// decodeChange decodes a change that is stored under the key of its revision.
+func decodeChange(pair bramleyfall.KeyValue) (bramleyfall.Change, error) {
+	var c bramleyfall.Change
+	if err := json.Unmarshal(pair.Value, &c); err != nil {
+		return c, bramleyfall.Errorf(bramleyfall.MalformedMessage, "key %s: %v", pair.Key, err)
+	}
+	if c.Revision == 0 || changeKey(c.Revision) != pair.Key {
+		return c, bramleyfall.Errorf(bramleyfall.MalformedMessage, "key %s holds the change of revision %d", pair.Key, c.Revision)
+	}
+	return c, nil
+}
+
+// readItems returns the latest change of each item, and an error for each that is
+// malformed. A malformed item has revision zero, so that the state known of it stays.
+func readItems(ctx context.Context, store bramleyfall.KeyValueStore) (items []bramleyfall.Change, malformed []error, err error) {
+	pairs, _, err := store.Range(ctx, itemPrefix, PrefixEnd(itemPrefix))
+	if err != nil {
+		return nil, nil, err
+	}
+	items = make([]bramleyfall.Change, 0, len(pairs))
+	for _, pair := range pairs {
+		var c bramleyfall.Change
+		err := json.Unmarshal(pair.Value, &c)
+		if err == nil && (c.Revision == 0 || itemKey(c.Key) != pair.Key) {
+			err = bramleyfall.Errorf(bramleyfall.MalformedMessage, "holds a change of %q at revision %d", c.Key, c.Revision)
+		}
+		if err != nil {
+			malformed = append(malformed, bramleyfall.Errorf(bramleyfall.MalformedMessage, "key %s: %v", pair.Key, err))
+			c = bramleyfall.Change{Key: strings.TrimPrefix(pair.Key, itemPrefix)}
+		}
+		items = append(items, c)
+	}
+	return items, malformed, nil
 }
--- a/etcd/rewrite.go
+++ b/etcd/rewrite.go
@@ -60,7 +60,7 @@
 // checkChangeID returns an error with code PlatformRolledBack if the store does not have
 // the change with the given ID at a revision.
 func checkChangeID(ctx context.Context, store bramleyfall.KeyValueStore, revision bramleyfall.Revision, id bramleyfall.ChangeID, known bramleyfall.Revision) error {
-	changes, err := readChanges(ctx, store, changeKey(revision), "")
+	changes, _, err := readChanges(ctx, store, changeKey(revision), "")
 	if err != nil {
 		return err
 	}
--- a/placement/message_fuzz_test.go
+++ b/placement/message_fuzz_test.go
@@ -15,7 +15,8 @@
 		{Kind: tunnel.Report, Load: bramleyfall.Load{State: bramleyfall.UpstreamReady, Slots: 65535, Busy: 65535, Flows: 65535, Utilization: 65535}},
 		{Kind: tunnel.Return, Code: 65535, Version: 1<<64 - 1, Changed: 1<<64 - 1, Boot: 1<<64 - 1},
 		{Kind: tunnel.MayBeOwned, Flow: bramleyfall.Flow{Destination: address, Protocol: bramleyfall.TCP}, Ack: 1<<32 - 1},
-		{Kind: tunnel.NotOwned}, {Kind: tunnel.Owned},
+		{Kind: tunnel.NotOwned},
+		{Kind: tunnel.Owned},
 	} {
 		m.Service = railbook.Key()
 		f.Add(tunnel.Append(nil, &m))
--- a/standin/etcd/etcd_test.go
+++ b/standin/etcd/etcd_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"bramleyfall.example/bramleyfall"
+	"bramleyfall.example/bramleyfall/configuration"
 	"bramleyfall.example/bramleyfall/etcd"
 	store "bramleyfall.example/bramleyfall/standin/etcd"
 )
@@ -34,6 +36,11 @@
 	c.now = c.now.Add(d)
 }
 
+// testContact returns the contact of a balancer in the failure domain Ife.
+func testContact() etcd.Contact {
+	return etcd.Contact{ID: "balancer-1", Domain: "Ife", Control: bramleyfall.Endpoint{IP: [4]byte{10, 0, 0, 1}, Port: 7000}}
+}
+
 type fixture struct {
 	clock  *manualClock
 	store  *store.Store
@@ -153,7 +160,7 @@
 func TestLeaseThatLapsedInAPauseIsNotActedOn(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	lease := etcd.NewLease(f.client, f.clock, "Ife", etcd.Contact{ID: "balancer-1", Domain: "Ife"})
+	lease := etcd.NewLease(f.client, f.clock, "Ife", testContact())
 	is.NoErr(lease.Renew(context.Background()))
 	is.True(lease.Valid())
 	f.clock.advance(etcd.ContactTTL + time.Second) // the holder was paused for longer than the TTL
@@ -181,7 +188,7 @@
 			is := is.New(t)
 			ctx := context.Background()
 			f := newFixture(t)
-			contact := etcd.Contact{ID: "balancer-1", Domain: "Ife"}
+			contact := testContact()
 			first, second := etcd.NewLease(f.client, f.clock, "Ife", contact), etcd.NewLease(f.client, f.clock, "Ife", contact)
 			if test.name == "release" {
 				is.NoErr(first.Renew(ctx))
@@ -206,7 +213,7 @@
 	is := is.New(t)
 	ctx := context.Background()
 	f := newFixture(t)
-	lease := etcd.NewLease(f.client, f.clock, "Ife", etcd.Contact{ID: "balancer-1", Domain: "Ife"})
+	lease := etcd.NewLease(f.client, f.clock, "Ife", testContact())
 	is.NoErr(lease.Renew(ctx))
 	contacts, err := etcd.Contacts(ctx, f.client)
 	is.NoErr(err)
@@ -232,6 +239,8 @@
 	// log holds the changes that the sink knows, from revision 1.
 	log       []bramleyfall.Change
 	rewritten int
+	malformed []error
+	state     *configuration.State
 }
 
 func (s *recordingSink) ChangesAfter(revision bramleyfall.Revision) ([]bramleyfall.Change, bool) {
@@ -246,9 +255,19 @@
 func (s *recordingSink) KnownRevision() (bramleyfall.Revision, bramleyfall.ChangeID) {
 	return s.revision, s.lastChange
 }
-func (s *recordingSink) SetPlatformError(error) {}
+func (s *recordingSink) SetPlatformError(error)    {}
+func (s *recordingSink) RecordMalformed(err error) { s.malformed = append(s.malformed, err) }
 func (s *recordingSink) HandleChanges(changes []bramleyfall.Change, full bool, revision bramleyfall.Revision) {
 	s.revision, s.full, s.count = revision, full, len(changes)
+	switch {
+	case s.state == nil:
+	case full:
+		s.state.ApplySnapshot(changes, revision)
+	default:
+		for _, c := range changes {
+			_, _ = s.state.Apply(c) // a malformed value has no effect
+		}
+	}
 }
 
 func TestReaderCatchesUpOrRefuses(t *testing.T) {
@@ -293,6 +312,19 @@
 	return c
 }
 
+// takeOut commits the change that takes a failure domain out of service.
+func (f *fixture) takeOut(t *testing.T, domain bramleyfall.DomainName) bramleyfall.Change {
+	t.Helper()
+	p := etcd.Proposal{ID: bramleyfall.ChangeID("c-" + domain), Key: configuration.DomainKey(domain), Edit: func(json.RawMessage) (json.RawMessage, error) {
+		return json.Marshal(bramleyfall.Domain{Name: domain, State: bramleyfall.DomainOut})
+	}}
+	c, err := f.writer.Submit(context.Background(), p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 // Guards against accepted changes that revert, or whose revisions are assigned to other
 // changes, after the store was restored from an older copy.
 func TestLostChangesAreWrittenAgain(t *testing.T) {
@@ -384,3 +416,95 @@
 		})
 	}
 }
+
+// Guards against readers that stop following the configuration, lose an item or believe in
+// revisions that do not exist, because another writer left a record among theirs.
+func TestRecordsOfOtherWriters(t *testing.T) {
+	const root = "/bramleyfall/"
+	odd := strings.Repeat("[", 1<<15)
+	tests := []struct {
+		name, key, value string
+		// known is the revision that the reader knows before.
+		known bramleyfall.Revision
+	}{
+		{"nested deeply among the changes", root + "change/000000000009", odd, 1},
+		{"a change with a revision out of range", root + "change/000000000009", `{"Revision":18446744073709551616}`, 1},
+		{"a change with another revision than its key", root + "change/000000000009", `{"Revision":18446744073709551615,"Key":"domain/Ife"}`, 1},
+		{"a change under a foreign key", root + "change/zzz", `7`, 1},
+		{"a change that was overwritten", root + "change/000000000002", odd, 1},
+		{"an item under a foreign key", root + "item/banana", odd, 0},
+		{"an item with the key of another", root + "item/domain/Abeokuta", `{"Revision":18446744073709551615,"Key":"domain/Ife"}`, 0},
+		{"an item of a foreign type", root + "item/service/x", `{"Revision":"1","Key":[]}`, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			f := newFixture(t)
+			first, second := f.takeOut(t, "Ife"), f.takeOut(t, "Ibadan")
+			sink := &recordingSink{state: configuration.New()}
+			if test.known > 0 {
+				_, err := sink.state.Apply(first)
+				is.NoErr(err)
+				sink.revision, sink.lastChange = first.Revision, first.ID
+			} else { // the reader needs a snapshot
+				_, err := f.client.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{{Key: root + "change/000000000001", Delete: true}}})
+				is.NoErr(err)
+			}
+			_, err := f.client.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{{Key: test.key, Value: []byte(test.value)}}})
+			is.NoErr(err)
+			is.NoErr(etcd.NewReader(f.client, sink).CatchUp(ctx))
+			is.Equal(len(sink.malformed), 1)
+			is.Equal(sink.state.Revision(), second.Revision)
+			is.Equal(sink.state.NewestRevision(), second.Revision)
+			latest, ok := sink.state.LatestChange(second.Key)
+			is.True(ok)
+			is.Equal(latest.ID, second.ID)
+		})
+	}
+}
+
+// Guards against the loss of an item whose record another writer has replaced.
+func TestOverwrittenItemStays(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	f := newFixture(t)
+	change := f.takeOut(t, "Ife")
+	f.takeOut(t, "Ibadan")
+	sink := &recordingSink{state: configuration.New()}
+	is.NoErr(etcd.NewReader(f.client, sink).CatchUp(ctx))
+	for _, key := range []string{"/bramleyfall/item/" + change.Key, "/bramleyfall/change/000000000002"} {
+		_, err := f.client.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{{Key: key, Value: []byte("7")}}})
+		is.NoErr(err)
+	}
+	is.NoErr(etcd.NewReader(f.client, sink).CatchUp(ctx))
+	is.True(len(sink.malformed) > 0)
+	latest, ok := sink.state.LatestChange(change.Key)
+	is.True(ok)
+	is.Equal(latest.ID, change.ID)
+}
+
+// Guards against contacts that name no balancer.
+func TestContactsOfOtherWriters(t *testing.T) {
+	const prefix = "/bramleyfall/contact/"
+	tests := []struct{ name, key, value string }{
+		{"nested deeply", "Ife/balancer-2", strings.Repeat("[", 1<<15)},
+		{"port out of range", "Ife/balancer-2", `{"ID":"balancer-2","Domain":"Ife","Control":"10.0.0.1:65536"}`},
+		{"no address", "Ife/balancer-2", `{"ID":"balancer-2","Domain":"Ife"}`},
+		{"name of another", "Ife/balancer-2", `{"ID":"balancer-1","Domain":"Ife","Control":"10.0.0.1:7000"}`},
+		{"foreign types", "Ife/balancer-2", `{"ID":2,"Domain":{},"Control":[]}`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx := context.Background()
+			f := newFixture(t)
+			is.NoErr(etcd.NewLease(f.client, f.clock, "Ife", testContact()).Renew(ctx))
+			_, err := f.client.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{{Key: prefix + test.key, Value: []byte(test.value)}}})
+			is.NoErr(err)
+			contacts, err := etcd.Contacts(ctx, f.client)
+			is.NoErr(err)
+			is.Equal(contacts, []etcd.Contact{testContact()})
+		})
+	}
+}
