Play seeded odd heartbeats against a running agent

TestOddHeartbeats: 400 odd heartbeats in the name of another upstream; the agent keeps its upstream, flows and entry.

--- a/direct/odd_test.go
+++ b/direct/odd_test.go
@@ -74,3 +74,25 @@
 		f.request(flow, fmt.Sprintf("last order %d", n), started)
 	}
 }
+
+// Guards against an agent that ends, forgets its upstream or takes another one because
+// another writer sends it odd heartbeats.
+func TestOddHeartbeats(t *testing.T) {
+	const seed, heartbeats = 32, 400
+	is := is.New(t)
+	f := newFleet(t)
+	b, m := f.newMachine(), f.newMachine()
+	upstream, _ := f.startUpstreamAndAgent(m)
+	f.startBalancer(b)
+	flow := f.open(f.newCaller(), 2000, b)
+	entries := f.store.Keys("bramleyfall/agents/")
+	value := f.store.Value(entries[0])
+	r := rand.New(rand.NewPCG(seed, 0))
+	for range heartbeats {
+		upstream.SendOddHeartbeat(r)
+	}
+	f.request(flow, "order 1", b)
+	f.request(f.open(f.newCaller(), 3000, b), "new", b)
+	is.Equal(upstream.Served(), 2)
+	is.Equal(f.store.Value(entries[0]), value)
+}
