Report the entry that holds an address after another one was written again

An entry that held an address and was written again with an earlier start of its upstream, after the clock was set back, lost the address to another one that was not reported. Keys are checked in one place, and only below the prefix of entries.

--- a/directory/announcer.go
+++ b/directory/announcer.go
@@ -36,11 +36,10 @@
 // Announcer registers an agent's entry in the store and renews its lease while
 // Run is running.
 //
-// Each write of the entry has the condition that nobody has written it since this
-// process last knew its revision. The store may execute a write of unknown outcome
-// seconds later, also after the process has ended. The condition then no longer holds if
-// the next process of the agent has written the entry; otherwise the late write would
-// attach the entry to a lease that nobody renews, or remove it.
+// Each write of the entry has the condition that nobody has written it since the last
+// revision that this process knows. The store may execute a write of unknown outcome
+// seconds later, when the process has ended. Without the condition, such a write could
+// remove the entry of the agent's next process, or attach it to a lease that nobody renews.
 type Announcer struct {
 	store      bramleyfall.LongPollStore
 	health     HealthFunc
--- a/directory/entries.go
+++ b/directory/entries.go
@@ -39,15 +39,19 @@
 // parseKey returns the instance, service and packet address that the key of an
 // entry contains.
 func parseKey(key string) (bramleyfall.Announcement, error) {
-	parts := strings.Split(strings.TrimPrefix(key, agentPrefix), "/")
+	suffix, ok := strings.CutPrefix(key, agentPrefix)
+	parts := strings.Split(suffix, "/")
 	const partCount = 3
-	if len(parts) != partCount {
+	if !ok || len(parts) != partCount {
 		return bramleyfall.Announcement{}, bramleyfall.Errorf(bramleyfall.MalformedMessage, "entry key %q does not have the form prefix/service/address/instance", key)
 	}
 	packets, err := bramleyfall.ParseEndpoint(parts[1])
+	if err != nil || packets.Port == 0 || packets.String() != parts[1] || parts[0] == "" || parts[2] == "" {
+		return bramleyfall.Announcement{}, bramleyfall.Errorf(bramleyfall.MalformedMessage, "entry key %q has no service, instance or valid address", key)
+	}
 	return bramleyfall.Announcement{
 		Instance: bramleyfall.InstanceID(parts[2]), Service: bramleyfall.ServiceName(parts[0]), Packets: packets,
-	}, err
+	}, nil
 }
 
 // EntryHandler handles changes of the agents' entries in the store. At the first
@@ -316,10 +320,10 @@
 		w.reportOverwritten(pair.Key)
 		return
 	}
-	added := &listedEntry{Announcement: a, key: pair.Key, revision: pair.ModRevision}
-	w.listed.put(added)
-	if w.listed.holder(a.Packets) == added {
-		w.handler.EntryAdded(a)
+	before := w.listed.holder(a.Packets)
+	w.listed.put(&listedEntry{Announcement: a, key: pair.Key, revision: pair.ModRevision})
+	if holder := w.listed.holder(a.Packets); holder != before {
+		w.handler.EntryAdded(holder.Announcement)
 	}
 }
 
@@ -329,8 +333,12 @@
 	if err := json.Unmarshal(pair.Value, &a); err != nil {
 		return a, err
 	}
-	if a.Packets.IsZero() || a.Packets.Port == 0 || a.Service == "" || agentKey(&a) != pair.Key {
-		return a, bramleyfall.Errorf(bramleyfall.MalformedMessage, "service, packet address or instance missing, or different from that of the key")
+	named, err := parseKey(pair.Key)
+	if err != nil {
+		return a, err
+	}
+	if a.Service != named.Service || a.Packets != named.Packets || a.Instance != named.Instance {
+		return a, bramleyfall.Errorf(bramleyfall.MalformedMessage, "service, packet address or instance differs from that of the key")
 	}
 	if a.Boot > math.MaxInt64 || a.Slots < 0 || a.Slots > bramleyfall.MaxSlots {
 		return a, bramleyfall.Errorf(bramleyfall.MalformedMessage, "boot ID or slots out of range")
@@ -349,8 +357,7 @@
 		return
 	}
 	a, err := parseKey(key)
-	if err != nil || a.Packets.IsZero() || a.Packets.Port == 0 || a.Instance == "" || a.Service == "" ||
-		w.listed.holder(a.Packets) != nil || w.listed.lists(a.Instance) {
+	if err != nil || w.listed.holder(a.Packets) != nil || w.listed.lists(a.Instance) {
 		return
 	}
 	w.handler.EntryAdded(a)
--- a/directory/entry_set_test.go
+++ b/directory/entry_set_test.go
@@ -59,6 +59,9 @@
 			time.Sleep(pause)
 			m.remove("bramleyfall/agents/agent-1")
 		}},
+		{"malformed record under a key like that of an entry", func(m *memoryStore) {
+			m.putRecord("bramleyfall/10.0.0.2:8000/agent-2", "7")
+		}},
 		{"withdrawal record that names the agent", func(m *memoryStore) {
 			m.putRecord(withdrawnKey, m.entryKey("agent-1"))
 		}},
@@ -101,6 +104,21 @@
 	})
 }
 
+// Guards against a balancer that knows no agent at an address after the entry that held it
+// was written again with an earlier start.
+func TestEntryWithAnEarlierStart(t *testing.T) {
+	m := newMemoryStore(0)
+	m.putEntryOf("agent-1", "railbook", 3)
+	m.putEntryOf("agent-2", "drawhub", 2)
+	runEventWatcher(t, m, func(is *is.I, r *eventRecorder) {
+		time.Sleep(2 * time.Second)
+		is.True(r.addedTime(2).IsZero())
+		m.putEntryOf("agent-1", "railbook", 1)
+		time.Sleep(2 * time.Second)
+		is.True(!r.addedTime(2).IsZero())
+	})
+}
+
 // Guards against a balancer that goes on with the entry of an agent that has ended when
 // another entry of the address remains.
 func TestRemainingEntryOfAnAddress(t *testing.T) {
