--- a/standin/etcd/etcd_test.go
+++ b/standin/etcd/etcd_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"net/http/httptest"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -36,11 +35,6 @@
 	c.now = c.now.Add(d)
 }
 
-// testContact returns the contact of a balancer in the failure domain Ife.
-func testContact() etcd.Contact {
-	return etcd.Contact{ID: "balancer-1", Domain: "Ife", Control: bramleyfall.Endpoint{IP: [4]byte{10, 0, 0, 1}, Port: 7000}}
-}
-
 type fixture struct {
 	clock  *manualClock
 	store  *store.Store
@@ -157,79 +151,6 @@
 	is.Equal(c.Revision, bramleyfall.Revision(2)) // consecutive revisions, both changes kept
 }
 
-func TestLeaseThatLapsedInAPauseIsNotActedOn(t *testing.T) {
-	is := is.New(t)
-	f := newFixture(t)
-	lease := etcd.NewLease(f.client, f.clock, "Ife", testContact())
-	is.NoErr(lease.Renew(context.Background()))
-	is.True(lease.Valid())
-	f.clock.advance(etcd.ContactTTL + time.Second) // the holder was paused for longer than the TTL
-	is.True(!lease.Valid())
-	contacts, err := etcd.Contacts(context.Background(), f.client)
-	is.NoErr(err)
-	is.Equal(len(contacts), 0)
-	is.NoErr(lease.Renew(context.Background()))
-	is.True(lease.Valid())
-}
-
-// Guards against a balancer whose contact is missing for good although its lease is valid:
-// a late write of an earlier process moves the contact to a lease that nobody renews, or
-// deletes it.
-func TestLateWriteOfAnEndedBalancer(t *testing.T) {
-	tests := []struct {
-		name string
-		late func(ctx context.Context, l *etcd.Lease) error
-	}{
-		{"registration", func(ctx context.Context, l *etcd.Lease) error { return l.Renew(ctx) }},
-		{"release", func(ctx context.Context, l *etcd.Lease) error { return l.Release(ctx) }},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			is := is.New(t)
-			ctx := context.Background()
-			f := newFixture(t)
-			contact := testContact()
-			first, second := etcd.NewLease(f.client, f.clock, "Ife", contact), etcd.NewLease(f.client, f.clock, "Ife", contact)
-			if test.name == "release" {
-				is.NoErr(first.Renew(ctx))
-			}
-			f.server.SetFaults(store.Faults{LateTxns: 1})
-			is.True(test.late(ctx, first) != nil) // no response; the first process ends
-			is.NoErr(second.Renew(ctx))
-			f.server.ExecuteLateTxns()
-			for range 3 { // until the lease of the first process has expired
-				f.clock.advance(etcd.ContactTTL / 2)
-				is.NoErr(second.Renew(ctx))
-			}
-			contacts, err := etcd.Contacts(ctx, f.client)
-			is.NoErr(err)
-			is.Equal(len(contacts), 1)
-		})
-	}
-}
-
-// Guards against a balancer that goes on renewing a lease without its contact.
-func TestLostContactIsRegisteredAgain(t *testing.T) {
-	is := is.New(t)
-	ctx := context.Background()
-	f := newFixture(t)
-	lease := etcd.NewLease(f.client, f.clock, "Ife", testContact())
-	is.NoErr(lease.Renew(ctx))
-	contacts, err := etcd.Contacts(ctx, f.client)
-	is.NoErr(err)
-	is.Equal(len(contacts), 1)
-	pairs, _, err := f.client.Range(ctx, "/", "0")
-	is.NoErr(err)
-	is.Equal(len(pairs), 1)
-	_, err = f.client.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{{Key: pairs[0].Key, Delete: true}}})
-	is.NoErr(err)
-	lease.Lost()
-	is.NoErr(lease.Renew(ctx))
-	contacts, err = etcd.Contacts(ctx, f.client)
-	is.NoErr(err)
-	is.Equal(len(contacts), 1)
-}
-
 // recordingSink records what a reader delivers.
 type recordingSink struct {
 	revision   bramleyfall.Revision
@@ -416,95 +337,3 @@
 		})
 	}
 }
-
-// Guards against readers that stop following the configuration, lose an item or believe in
-// revisions that do not exist, because another writer left a record among theirs.
-func TestRecordsOfOtherWriters(t *testing.T) {
-	const root = "/bramleyfall/"
-	odd := strings.Repeat("[", 1<<15)
-	tests := []struct {
-		name, key, value string
-		// known is the revision that the reader knows before.
-		known bramleyfall.Revision
-	}{
-		{"nested deeply among the changes", root + "change/000000000009", odd, 1},
-		{"a change with a revision out of range", root + "change/000000000009", `{"Revision":18446744073709551616}`, 1},
-		{"a change with another revision than its key", root + "change/000000000009", `{"Revision":18446744073709551615,"Key":"domain/Ife"}`, 1},
-		{"a change under a foreign key", root + "change/zzz", `7`, 1},
-		{"a change that was overwritten", root + "change/000000000002", odd, 1},
-		{"an item under a foreign key", root + "item/banana", odd, 0},
-		{"an item with the key of another", root + "item/domain/Abeokuta", `{"Revision":18446744073709551615,"Key":"domain/Ife"}`, 0},
-		{"an item of a foreign type", root + "item/service/x", `{"Revision":"1","Key":[]}`, 0},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			is := is.New(t)
-			ctx := context.Background()
-			f := newFixture(t)
-			first, second := f.takeOut(t, "Ife"), f.takeOut(t, "Ibadan")
-			sink := &recordingSink{state: configuration.New()}
-			if test.known > 0 {
-				_, err := sink.state.Apply(first)
-				is.NoErr(err)
-				sink.revision, sink.lastChange = first.Revision, first.ID
-			} else { // the reader needs a snapshot
-				_, err := f.client.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{{Key: root + "change/000000000001", Delete: true}}})
-				is.NoErr(err)
-			}
-			_, err := f.client.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{{Key: test.key, Value: []byte(test.value)}}})
-			is.NoErr(err)
-			is.NoErr(etcd.NewReader(f.client, sink).CatchUp(ctx))
-			is.Equal(len(sink.malformed), 1)
-			is.Equal(sink.state.Revision(), second.Revision)
-			is.Equal(sink.state.NewestRevision(), second.Revision)
-			latest, ok := sink.state.LatestChange(second.Key)
-			is.True(ok)
-			is.Equal(latest.ID, second.ID)
-		})
-	}
-}
-
-// Guards against the loss of an item whose record another writer has replaced.
-func TestOverwrittenItemStays(t *testing.T) {
-	is := is.New(t)
-	ctx := context.Background()
-	f := newFixture(t)
-	change := f.takeOut(t, "Ife")
-	f.takeOut(t, "Ibadan")
-	sink := &recordingSink{state: configuration.New()}
-	is.NoErr(etcd.NewReader(f.client, sink).CatchUp(ctx))
-	for _, key := range []string{"/bramleyfall/item/" + change.Key, "/bramleyfall/change/000000000002"} {
-		_, err := f.client.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{{Key: key, Value: []byte("7")}}})
-		is.NoErr(err)
-	}
-	is.NoErr(etcd.NewReader(f.client, sink).CatchUp(ctx))
-	is.True(len(sink.malformed) > 0)
-	latest, ok := sink.state.LatestChange(change.Key)
-	is.True(ok)
-	is.Equal(latest.ID, change.ID)
-}
-
-// Guards against contacts that name no balancer.
-func TestContactsOfOtherWriters(t *testing.T) {
-	const prefix = "/bramleyfall/contact/"
-	tests := []struct{ name, key, value string }{
-		{"nested deeply", "Ife/balancer-2", strings.Repeat("[", 1<<15)},
-		{"port out of range", "Ife/balancer-2", `{"ID":"balancer-2","Domain":"Ife","Control":"10.0.0.1:65536"}`},
-		{"no address", "Ife/balancer-2", `{"ID":"balancer-2","Domain":"Ife"}`},
-		{"name of another", "Ife/balancer-2", `{"ID":"balancer-1","Domain":"Ife","Control":"10.0.0.1:7000"}`},
-		{"foreign types", "Ife/balancer-2", `{"ID":2,"Domain":{},"Control":[]}`},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			is := is.New(t)
-			ctx := context.Background()
-			f := newFixture(t)
-			is.NoErr(etcd.NewLease(f.client, f.clock, "Ife", testContact()).Renew(ctx))
-			_, err := f.client.Commit(ctx, bramleyfall.Txn{Writes: []bramleyfall.Write{{Key: prefix + test.key, Value: []byte(test.value)}}})
-			is.NoErr(err)
-			contacts, err := etcd.Contacts(ctx, f.client)
-			is.NoErr(err)
-			is.Equal(contacts, []etcd.Contact{testContact()})
-		})
-	}
-}
