--- /dev/null
+++ b/review/stand-3/case_agent_rolled_early.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+	"time"
+
+	"bramleyfall.example/bramleyfall/review/stand-3/platform"
+)
+
+// agentRolledEarly replaces the server of a service by a new one, as a release does,
+// and restarts the new server's agent soon after the server's first heartbeat. It
+// checks FLOW.
+func agentRolledEarly(d *platform.Deployment, t trouble) (bool, error) {
+	route := d.Route(1)
+	d.Configure(15*time.Second, []string{"desk"}, platform.RouteConfig{Route: route, Service: "desk", Type: "safe"})
+	for n := 1; n <= 2; n++ {
+		if _, err := d.Balancer(fmt.Sprintf("edge-%d", n)); err != nil {
+			return false, err
+		}
+	}
+	oldAgent, err := d.Agent("side-1", "desk")
+	if err != nil {
+		return false, err
+	}
+	oldServer, err := d.Server("i-1", "desk", oldAgent)
+	if err != nil {
+		return false, err
+	}
+	client, err := d.Client()
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(leadTime)
+	if d.Router.InRotation() != 2 {
+		return false, errors.New("the balancers aren't ready when traffic starts")
+	}
+	// The release: a new machine with an agent and a server, then the old server drains.
+	newAgent, err := d.Agent("side-2", "desk")
+	if err != nil {
+		return false, err
+	}
+	time.Sleep(time.Second)
+	if _, err := d.Server("i-2", "desk", newAgent); err != nil {
+		return false, err
+	}
+	born := time.Now()
+	time.Sleep(100 * time.Millisecond)
+	oldServer.Drain()
+	time.Sleep(150 * time.Millisecond)
+	var flows []*platform.ClientFlow
+	for n := 1; n <= 8; n++ {
+		f, outcome := client.Open(route)
+		if f == nil {
+			d.Record.Printf("flow %d doesn't open: %s", n, outcome)
+			continue
+		}
+		outcome = f.Request(fmt.Sprintf("first-%d", n), "GET", deadline)
+		d.Record.Printf("flow %d: first request: %s", n, outcome)
+		if outcome == platform.Served {
+			flows = append(flows, f)
+		}
+	}
+	if len(flows) == 0 {
+		return false, errors.New("no flow has opened")
+	}
+	d.Record.Printf("%d flows are open %.3f s after the server's start", len(flows), time.Since(born).Seconds())
+	if !t.none() {
+		newAgent.Signal(syscall.SIGTERM)
+	}
+	time.Sleep(time.Until(born.Add(2 * time.Second)))
+	resets := 0
+	for n, f := range flows {
+		outcome := f.Request(fmt.Sprintf("second-%d", n+1), "GET", 4*time.Second)
+		d.Record.Printf("flow %d: second request: %s", n+1, outcome)
+		if outcome == platform.Reset {
+			resets++
+		}
+	}
+	d.Record.Printf("%d of %d open flows were reset by the system while their server lives", resets, len(flows))
+	return resets > 0, nil
+}
