Review: a balancer refuses a service after an opening for a removed route

Cause: a balancer takes an agent's refusal of one route as a sign that the agent serves another service, and doesn't ask it again.

--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*platform.Deployment, trouble) (bool, error){
 	"agents-rolled":      agentsRolled,
 	"agent-rolled-early": agentRolledEarly,
+	"route-removed":      routeRemoved,
 }
 
 // trouble says which disruptions are played: "0" for none, "kill" for the final fault
--- a/review/stand-3/platform/deployment.go
+++ b/review/stand-3/platform/deployment.go
@@ -43,6 +43,7 @@
 	root, folder string
 	network      [2]byte
 	next         byte
+	marker       net.Listener
 	version      int
 	mu           sync.Mutex
 	nodes        []*Node
@@ -53,9 +54,10 @@
 	d := &Deployment{Router: &Router{}, Record: record, root: root, folder: folder}
 	for n := 0; n < 100; n++ {
 		d.network = [2]byte{byte(64 + (os.Getpid()+n)%128), byte((os.Getpid() / 128) % 250)}
-		store, err := NewStore(fmt.Sprintf("%s:%d", d.ip(1), portStore))
-		if err == nil {
-			d.Store, d.next = store, 2
+		// The first address marks the network as taken.
+		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", d.ip(1), portStore))
+		if err == nil && Free(d.ip(2)) {
+			d.Store, d.next, d.marker = NewStore(), 2, l
 			return d, nil
 		}
 	}
@@ -111,6 +113,8 @@
 type Node struct {
 	Name, Role string
 	IP         netip.Addr
+	// Store is the address at which the store serves the machine.
+	Store *Front
 
 	d        *Deployment
 	settings string
@@ -128,11 +132,16 @@
 func (d *Deployment) start(role, name, service string) (*Node, error) {
 	n := &Node{Name: name, Role: role, IP: d.newIP(), d: d}
 	at := func(port int) string { return fmt.Sprintf("%s:%d", n.IP, port) }
+	front, err := d.Store.NewFront(at(portStore))
+	if err != nil {
+		return nil, err
+	}
+	n.Store = front
 	values := map[string]string{
 		"node_name": name, "zone": "a", "service": service, "ip": n.IP.String(), "heartbeat_ms": fmt.Sprint(heartbeatInterval.Milliseconds()),
 		"listen_addrs.data_addr": at(portData), "listen_addrs.outbound": at(portOutbound), "listen_addrs.control": at(portControl),
 		"listen_addrs.readiness": at(portReadiness), "app": at(portApp), "internal_ports.0": fmt.Sprint(portInternal),
-		"platform.address": d.Store.Address,
+		"platform.address": front.Address,
 	}
 	template, err := os.ReadFile(filepath.Join(d.root, "deploy", role+".conf"))
 	if err != nil {
@@ -251,6 +260,12 @@
 	}, d.Record)
 }
 
+// DirectClient opens a client machine whose packets go to one balancer.
+func (d *Deployment) DirectClient(to *Node) (*Client, error) {
+	r := &Router{entries: []*entry{{packets: netip.AddrPortFrom(to.IP, portData), in: true}}}
+	return NewClient(d.newIP(), portData, r, d.Record)
+}
+
 // Client opens a client machine.
 func (d *Deployment) Client() (*Client, error) {
 	return NewClient(d.newIP(), portData, d.Router, d.Record)
--- a/review/stand-3/platform/store.go
+++ b/review/stand-3/platform/store.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -8,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,8 +38,6 @@
 
 // Store is the platform's metadata store.
 type Store struct {
-	Address string
-
 	mu        sync.Mutex
 	changed   chan struct{}
 	revision  uint64
@@ -46,19 +46,23 @@
 	history   []item
 	dropped   uint64
 	leases    map[int64]*lease
-	// refused holds the source addresses whose calls get 503.
-	refused map[string]bool
+	mux       http.Handler
 }
 
-// NewStore serves a store at an address until the process ends.
-func NewStore(listen string) (*Store, error) {
-	l, err := net.Listen("tcp4", listen)
-	if err != nil {
-		return nil, err
-	}
+// Front is an address at which the store serves one machine.
+type Front struct {
+	Address string
+
+	store  *Store
+	server *http.Server
+	refuse atomic.Bool
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
 	s := &Store{
-		Address: l.Addr().String(), changed: make(chan struct{}), revision: 1, nextLease: 100,
-		items: make(map[string]item), leases: make(map[int64]*lease), refused: make(map[string]bool),
+		changed: make(chan struct{}), revision: 1, nextLease: 100,
+		items: make(map[string]item), leases: make(map[int64]*lease),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.get)
@@ -68,38 +72,49 @@
 	mux.HandleFunc("POST /kv-lease", s.grant)
 	mux.HandleFunc("POST /kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
-	go func() { _ = http.Serve(l, s.front(mux)) }()
+	s.mux = mux
 	go s.loopExpire()
-	return s, nil
+	return s
 }
 
-// Refuse makes the store turn away the calls from an address with 503, or serve
-// them again.
-func (s *Store) Refuse(ip string, refuse bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.refused[ip] = refuse
-	s.wake() // watches that wait are cut
+// NewFront serves the store at one more address until the process ends.
+func (s *Store) NewFront(listen string) (*Front, error) {
+	l, err := net.Listen("tcp4", listen)
+	if err != nil {
+		return nil, err
+	}
+	f := &Front{Address: l.Addr().String(), store: s}
+	f.server = &http.Server{Handler: http.HandlerFunc(f.serve)}
+	go func() { _ = f.server.Serve(l) }()
+	return f, nil
 }
 
-func (s *Store) turnsAway(r *http.Request) bool {
-	host, _, _ := net.SplitHostPort(r.RemoteAddr)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.refused[host]
+// Refuse makes the store turn away the calls of the machine with 503, or serve them
+// again. Watches that wait end with 503, too.
+func (f *Front) Refuse(refuse bool) {
+	f.refuse.Store(refuse)
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.wake()
 }
 
-func (s *Store) front(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(answerTime)
-		w.Header().Set("Store-Era", "1")
-		w.Header().Set("Content-Type", "application/json")
-		if s.turnsAway(r) {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
+// refusal is the key of a request's function that tells whether it is turned away.
+type refusal struct{}
+
+func (f *Front) serve(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(answerTime)
+	w.Header().Set("Store-Era", "1")
+	w.Header().Set("Content-Type", "application/json")
+	if f.refuse.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	f.store.mux.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), refusal{}, f.refuse.Load)))
+}
+
+func turnedAway(r *http.Request) bool {
+	refused, ok := r.Context().Value(refusal{}).(func() bool)
+	return ok && refused()
 }
 
 func reply(w http.ResponseWriter, status int, body any) {
@@ -210,7 +225,7 @@
 	wait, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
-		if s.turnsAway(r) {
+		if turnedAway(r) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
