Review: a service without idempotent requests is refused for good after its servers restarted

Cause: an upstream that has restarted twice within 10 s is put on trial; a trial takes only requests that may be repeated, and ends only with answers.

--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -21,6 +21,7 @@
 	"agents-rolled":      agentsRolled,
 	"agent-rolled-early": agentRolledEarly,
 	"route-removed":      routeRemoved,
+	"server-restarted":   serverRestarted,
 }
 
 // trouble says which disruptions are played: "0" for none, "kill" for the final fault
