Review: open flows are reset after an agent's restart if the server's clock was ahead

Cause: an agent takes a server whose born is later than its own start for younger than itself, although the time of day has been set back in between.

--- a/review/stand-3/case_agent_rolled_early.go
+++ b/review/stand-3/case_clock_ahead.go
@@ -9,12 +9,22 @@
 	"bramleyfall.example/bramleyfall/review/stand-3/platform"
 )
 
-// agentRolledEarly replaces the server of a service by a new one, as a release does,
-// and restarts the new server's agent soon after the server's first heartbeat. It
-// checks FLOW.
-func agentRolledEarly(d *platform.Deployment, t trouble) (bool, error) {
+const (
+	// clockAheadBy is how far the time of day of a machine is ahead while its server
+	// starts.
+	clockAheadBy = 2200 * time.Millisecond
+	// stopAfter is the time from the server's start to the SIGTERM of its agent.
+	stopAfter = 1600 * time.Millisecond
+	// restTime is the time from the server's start to the second requests.
+	restTime = 8 * time.Second
+)
+
+// clockAhead replaces the server of a service by a new one, as a release does, whose
+// machine's time of day is ahead at that moment and true again before the server's agent
+// is stopped and started. It checks FLOW.
+func clockAhead(d *platform.Deployment, t trouble) (bool, error) {
 	route := d.Route(1)
-	d.Configure(15*time.Second, []string{"desk"}, platform.RouteConfig{Route: route, Service: "desk", Type: "safe"})
+	d.Configure(15*time.Second, []string{"desk"}, platform.RouteConfig{Route: route, Service: "desk", Type: "unsafe"})
 	for n := 1; n <= 2; n++ {
 		if _, err := d.Balancer(fmt.Sprintf("edge-%d", n)); err != nil {
 			return false, err
@@ -36,12 +46,15 @@
 	if d.Router.InRotation() != 2 {
 		return false, errors.New("the balancers aren't ready when traffic starts")
 	}
-	// The release: a new machine with an agent and a server, then the old server drains.
 	newAgent, err := d.Agent("side-2", "desk")
 	if err != nil {
 		return false, err
 	}
 	time.Sleep(time.Second)
+	if !t.none() && t != "roll" {
+		newAgent.Ahead = clockAheadBy
+		d.Record.Printf("the time of day of side-2 is %v ahead", clockAheadBy)
+	}
 	if _, err := d.Server("i-2", "desk", newAgent); err != nil {
 		return false, err
 	}
@@ -56,7 +69,7 @@
 			d.Record.Printf("flow %d doesn't open: %s", n, outcome)
 			continue
 		}
-		outcome = f.Request(fmt.Sprintf("first-%d", n), "GET", deadline)
+		outcome = f.Request(fmt.Sprintf("first-%d", n), "POST", deadline)
 		d.Record.Printf("flow %d: first request: %s", n, outcome)
 		if outcome == platform.Served {
 			flows = append(flows, f)
@@ -66,13 +79,15 @@
 		return false, errors.New("no flow has opened")
 	}
 	d.Record.Printf("%d flows are open %.3f s after the server's start", len(flows), time.Since(born).Seconds())
-	if !t.none() {
+	time.Sleep(time.Until(born.Add(stopAfter)))
+	d.Record.Printf("the time of day of side-2 is true")
+	if !t.none() && t != "clock" {
 		newAgent.Signal(syscall.SIGTERM)
 	}
-	time.Sleep(time.Until(born.Add(2 * time.Second)))
+	time.Sleep(time.Until(born.Add(restTime)))
 	resets := 0
 	for n, f := range flows {
-		outcome := f.Request(fmt.Sprintf("second-%d", n+1), "GET", 4*time.Second)
+		outcome := f.Request(fmt.Sprintf("second-%d", n+1), "POST", 4*time.Second)
 		d.Record.Printf("flow %d: second request: %s", n+1, outcome)
 		if outcome == platform.Reset {
 			resets++
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -18,14 +18,11 @@
 
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*platform.Deployment, trouble) (bool, error){
-	"agents-rolled":      agentsRolled,
-	"agent-rolled-early": agentRolledEarly,
-	"route-removed":      routeRemoved,
-	"server-restarted":   serverRestarted,
+	"agent-killed-cold": agentKilledCold,
+	"clock-ahead":       clockAhead,
 }
 
-// trouble says which disruptions are played: "0" for none, "kill" for the final fault
-// without the planned work, "roll" for the planned work alone, anything else for all.
+// trouble is "0" if the disruption is left out, "clock" or "roll" for one half of it.
 type trouble string
 
 func (t trouble) none() bool { return t == "0" }
--- a/review/stand-3/platform/client.go
+++ b/review/stand-3/platform/client.go
@@ -39,6 +39,8 @@
 	mu    sync.Mutex
 	port  uint16
 	flows map[uint16]*ClientFlow
+	// opened holds when each flow's first opening packet was sent, by port.
+	opened map[uint16]time.Time
 }
 
 // NewClient opens a client machine that receives packets at ip and port.
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Client{ip: ip, conn: conn, router: router, record: record, port: 1024, flows: make(map[uint16]*ClientFlow)}
+	c := &Client{ip: ip, conn: conn, router: router, record: record, port: 1024, flows: make(map[uint16]*ClientFlow), opened: make(map[uint16]time.Time)}
 	go c.loopRead()
 	return c, nil
 }
@@ -90,8 +92,9 @@
 	c.port++
 	f := &ClientFlow{client: c, src: netip.AddrPortFrom(c.ip, c.port), route: route, seq: rand.Uint32(), inbox: make(chan packet, 64)}
 	c.flows[c.port] = f
-	c.mu.Unlock()
 	started := time.Now()
+	c.opened[c.port] = started
+	c.mu.Unlock()
 	sends := []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond}
 	for n, at := range sends {
 		for {
@@ -121,6 +124,13 @@
 	return nil, Silence
 }
 
+// OpenedAt returns when the first opening packet of the flow from a port was sent.
+func (c *Client) OpenedAt(port uint16) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.opened[port]
+}
+
 // Close forgets the flow.
 func (f *ClientFlow) Close() {
 	f.client.mu.Lock()
--- a/review/stand-3/platform/deployment.go
+++ b/review/stand-3/platform/deployment.go
@@ -28,6 +28,9 @@
 	portMetrics   = 9102
 )
 
+// defaultZone is the zone of the balancers and the clients.
+const defaultZone = "a"
+
 // restartDelay is the time after which a process that has ended is started again.
 const restartDelay = 400 * time.Millisecond
 
@@ -45,13 +48,18 @@
 	next         byte
 	marker       net.Listener
 	version      int
-	mu           sync.Mutex
-	nodes        []*Node
+	// ColdFor, ColdRate and Slots are those of the services' servers.
+	ColdFor  time.Duration
+	ColdRate float64
+	Slots    int
+	coldNow  time.Duration
+	mu       sync.Mutex
+	nodes    []*Node
 }
 
 // NewDeployment finds free loopback addresses and starts the platform.
 func NewDeployment(root, folder string, record *Record) (*Deployment, error) {
-	d := &Deployment{Router: &Router{}, Record: record, root: root, folder: folder}
+	d := &Deployment{Router: &Router{}, Record: record, root: root, folder: folder, Slots: 5}
 	for n := 0; n < 100; n++ {
 		d.network = [2]byte{byte(64 + (os.Getpid()+n)%128), byte((os.Getpid() / 128) % 250)}
 		// The first address marks the network as taken.
@@ -101,7 +109,7 @@
 		})
 	}
 	for _, s := range services {
-		names = append(names, map[string]any{"name": s, "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": false, "cold_s": 0.0, "cold_per_s": 0.0})
+		names = append(names, map[string]any{"name": s, "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": false, "cold_s": d.ColdFor.Seconds(), "cold_per_s": d.ColdRate})
 	}
 	body["routes"], body["services"] = rows, names
 	value, _ := json.Marshal(body)
@@ -111,8 +119,10 @@
 
 // Node is a process of the project on a machine of its own.
 type Node struct {
-	Name, Role string
-	IP         netip.Addr
+	Name, Role, Zone string
+	// Ahead is how far the machine's time of day is ahead, as its server sees it.
+	Ahead time.Duration
+	IP    netip.Addr
 	// Store is the address at which the store serves the machine.
 	Store *Front
 
@@ -129,8 +139,8 @@
 
 // start renders the settings of a node and starts it with the command of the deploy
 // file.
-func (d *Deployment) start(role, name, service string) (*Node, error) {
-	n := &Node{Name: name, Role: role, IP: d.newIP(), d: d}
+func (d *Deployment) start(role, name, service, zone string) (*Node, error) {
+	n := &Node{Name: name, Role: role, Zone: zone, IP: d.newIP(), d: d}
 	at := func(port int) string { return fmt.Sprintf("%s:%d", n.IP, port) }
 	front, err := d.Store.NewFront(at(portStore))
 	if err != nil {
@@ -138,7 +148,7 @@
 	}
 	n.Store = front
 	values := map[string]string{
-		"node_name": name, "zone": "a", "service": service, "ip": n.IP.String(), "heartbeat_ms": fmt.Sprint(heartbeatInterval.Milliseconds()),
+		"node_name": name, "zone": zone, "service": service, "ip": n.IP.String(), "heartbeat_ms": fmt.Sprint(heartbeatInterval.Milliseconds()),
 		"listen_addrs.data_addr": at(portData), "listen_addrs.outbound": at(portOutbound), "listen_addrs.control": at(portControl),
 		"listen_addrs.readiness": at(portReadiness), "app": at(portApp), "internal_ports.0": fmt.Sprint(portInternal),
 		"platform.address": front.Address,
@@ -239,7 +249,7 @@
 
 // Balancer starts a balancer and puts it into the routers' list.
 func (d *Deployment) Balancer(name string) (*Node, error) {
-	n, err := d.start("balancer", name, "")
+	n, err := d.start("balancer", name, "", defaultZone)
 	if err == nil {
 		d.Router.Add(netip.AddrPortFrom(n.IP, portData), fmt.Sprintf("%s:%d", n.IP, portReadiness))
 	}
@@ -248,15 +258,34 @@
 
 // Agent starts an agent for a server of a service.
 func (d *Deployment) Agent(name, service string) (*Node, error) {
-	return d.start("agent", name, service)
+	return d.AgentIn(name, service, defaultZone)
 }
 
+// AgentIn starts an agent for a server of a service in a zone.
+func (d *Deployment) AgentIn(name, service, zone string) (*Node, error) {
+	return d.start("agent", name, service, zone)
+}
+
+// Evacuate asks for a zone to be emptied, or takes it back, as the operator does.
+func (d *Deployment) Evacuate(zone string, out bool) {
+	d.Record.Printf("operator: evacuation of zone %s: %v", zone, out)
+	key := "op/evacuate/" + zone
+	if out {
+		d.Store.PutByOperator(key, []byte("{}"))
+		return
+	}
+	d.Store.DeleteByOperator(key)
+}
+
+// TrafficStarts makes servers that start from now on cold.
+func (d *Deployment) TrafficStarts() { d.coldNow = d.ColdFor }
+
 // Server starts a server beside an agent.
 func (d *Deployment) Server(id, service string, beside *Node) (*Server, error) {
 	at := func(port int) string { return fmt.Sprintf("%s:%d", beside.IP, port) }
 	return StartServer(ServerConfig{
-		ID: id, Service: service, Zone: "a", App: at(portApp), Outbound: at(portOutbound), Control: at(portControl),
-		Slots: 5, Work: 20 * time.Millisecond, Heartbeat: heartbeatInterval,
+		ID: id, Service: service, Zone: beside.Zone, App: at(portApp), Outbound: at(portOutbound), Control: at(portControl),
+		Slots: d.Slots, Work: 20 * time.Millisecond, Heartbeat: heartbeatInterval, Cold: d.coldNow, Ahead: beside.Ahead,
 	}, d.Record)
 }
 
--- a/review/stand-3/platform/server.go
+++ b/review/stand-3/platform/server.go
@@ -33,6 +33,16 @@
 	Slots                  int
 	Work                   time.Duration
 	Heartbeat              time.Duration
+	// Cold is the time after its start for which the server is cold.
+	Cold time.Duration
+	// Ahead is how far the time of day on the machine is ahead when the server starts.
+	Ahead time.Duration
+}
+
+// Opening is the first copy of an opening packet that a server took.
+type Opening struct {
+	Client netip.AddrPort
+	At     time.Time
 }
 
 // Server is a stand-in for a server beside an agent.
@@ -54,6 +64,11 @@
 	// Unasked counts packets whose sum is not that of their sender.
 	Unasked atomic.Int64
 	runs    map[string]int
+	// openings holds the openings that were taken while the server was cold.
+	openings []Opening
+	// coldUntil is when the server stops being cold.
+	coldUntil time.Time
+	beaten    time.Time
 }
 
 type serverFlow struct {
@@ -86,9 +101,10 @@
 		return nil, err
 	}
 	s := &Server{
-		config: config, record: record, conn: conn, outbound: out, born: time.Now().UnixMilli(),
+		config: config, record: record, conn: conn, outbound: out, born: time.Now().Add(config.Ahead).UnixMilli(),
 		slots: make(chan struct{}, config.Slots), flows: make(map[netip.AddrPort]map[netip.AddrPort]*serverFlow), runs: make(map[string]int),
 	}
+	s.coldUntil = time.Now().Add(config.Cold)
 	s.done, s.stopped = context.WithCancel(context.Background())
 	s.health = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if s.draining.Load() {
@@ -102,6 +118,31 @@
 	return s, nil
 }
 
+// cold returns how much longer the server is cold. It needs the lock.
+func (s *Server) cold() time.Duration { return max(0, time.Until(s.coldUntil)) }
+
+// TurnCold makes the server cold from now on. It says so in its next heartbeat.
+func (s *Server) TurnCold(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldUntil = time.Now().Add(d)
+	s.record.Printf("server %s is cold for %v", s.config.ID, d)
+}
+
+// LastBeat returns when the last heartbeat was sent.
+func (s *Server) LastBeat() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.beaten
+}
+
+// ColdOpenings returns the openings that the server took while it was cold.
+func (s *Server) ColdOpenings() []Opening {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Opening(nil), s.openings...)
+}
+
 // Stop ends the server without a word, as a crash does.
 func (s *Server) Stop() {
 	s.stopped()
@@ -120,7 +161,8 @@
 func (s *Server) Beat() bool {
 	s.mu.Lock()
 	s.sequence++
-	n := s.sequence
+	n, cold := s.sequence, s.cold()
+	s.beaten = time.Now()
 	s.mu.Unlock()
 	state := "ready"
 	if s.draining.Load() {
@@ -128,7 +170,7 @@
 	}
 	body, _ := json.Marshal(map[string]any{
 		"service": s.config.Service, "address": s.config.App, "zone": s.config.Zone, "version": "v1", "slots": s.config.Slots,
-		"state": state, "cold_remaining_ms": 0, "sequence": n, "born": s.born,
+		"state": state, "cold_remaining_ms": cold.Milliseconds(), "sequence": n, "born": s.born,
 	})
 	ctx, cancel := context.WithTimeout(s.done, time.Second)
 	defer cancel()
@@ -139,7 +181,7 @@
 	if err == nil {
 		_ = response.Body.Close()
 	}
-	s.record.Printf("server %s heartbeat sequence=%d state=%s acknowledged=%v", s.config.ID, n, state, ok)
+	s.record.Printf("server %s heartbeat sequence=%d state=%s cold_ms=%d acknowledged=%v", s.config.ID, n, state, cold.Milliseconds(), ok)
 	return ok
 }
 
@@ -185,6 +227,10 @@
 				s.flows[p.src] = make(map[netip.AddrPort]*serverFlow)
 			}
 			s.flows[p.src][p.dst] = f
+			if s.cold() > 0 {
+				s.openings = append(s.openings, Opening{p.src, time.Now()})
+				s.record.Printf("server %s takes the opening of %s, cold", s.config.ID, p.src)
+			}
 		}
 		s.send(f, flagSYN|flagACK, f.ownISN, nil)
 		return
--- a/review/stand-3/platform/store.go
+++ b/review/stand-3/platform/store.go
@@ -186,6 +186,15 @@
 	s.wake()
 }
 
+// DeleteByOperator removes a key as the operator does.
+func (s *Store) DeleteByOperator(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.wake()
+}
+
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
