--- a/review/stand-3/case_clock_ahead.go
+++ b/review/stand-3/case_clock_ahead.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// orwHeartbeat is the heartbeat interval of orw-lagos.
+	orwHeartbeat = 770 * time.Millisecond
 	// clockAheadBy is how far the time of day of a machine is ahead while its server
 	// starts.
 	clockAheadBy = 2200 * time.Millisecond
@@ -23,6 +25,7 @@
 // machine's time of day is ahead at that moment and true again before the server's agent
 // is stopped and started. It checks FLOW.
 func clockAhead(d *platform.Deployment, t trouble) (bool, error) {
+	d.Heartbeat = orwHeartbeat
 	route := d.Route(1)
 	d.Configure(15*time.Second, []string{"desk"}, platform.RouteConfig{Route: route, Service: "desk", Type: "unsafe"})
 	for n := 1; n <= 2; n++ {
--- a/review/stand-3/platform/deployment.go
+++ b/review/stand-3/platform/deployment.go
@@ -34,8 +34,8 @@
 // restartDelay is the time after which a process that has ended is started again.
 const restartDelay = 400 * time.Millisecond
 
-// heartbeatInterval is that of the small deployments.
-const heartbeatInterval = 1200 * time.Millisecond
+// defaultHeartbeat is the heartbeat interval of ksif-lb.
+const defaultHeartbeat = 1200 * time.Millisecond
 
 // Deployment is a small deployment: processes of the project, and the platform.
 type Deployment struct {
@@ -52,14 +52,16 @@
 	ColdFor  time.Duration
 	ColdRate float64
 	Slots    int
-	coldNow  time.Duration
-	mu       sync.Mutex
-	nodes    []*Node
+	// Heartbeat is the interval between the heartbeats of a server.
+	Heartbeat time.Duration
+	coldNow   time.Duration
+	mu        sync.Mutex
+	nodes     []*Node
 }
 
 // NewDeployment finds free loopback addresses and starts the platform.
 func NewDeployment(root, folder string, record *Record) (*Deployment, error) {
-	d := &Deployment{Router: &Router{}, Record: record, root: root, folder: folder, Slots: 5}
+	d := &Deployment{Router: &Router{}, Record: record, root: root, folder: folder, Slots: 5, Heartbeat: defaultHeartbeat}
 	for n := 0; n < 100; n++ {
 		d.network = [2]byte{byte(64 + (os.Getpid()+n)%128), byte((os.Getpid() / 128) % 250)}
 		// The first address marks the network as taken.
@@ -148,7 +150,7 @@
 	}
 	n.Store = front
 	values := map[string]string{
-		"node_name": name, "zone": zone, "service": service, "ip": n.IP.String(), "heartbeat_ms": fmt.Sprint(heartbeatInterval.Milliseconds()),
+		"node_name": name, "zone": zone, "service": service, "ip": n.IP.String(), "heartbeat_ms": fmt.Sprint(d.Heartbeat.Milliseconds()),
 		"listen_addrs.data_addr": at(portData), "listen_addrs.outbound": at(portOutbound), "listen_addrs.control": at(portControl),
 		"listen_addrs.readiness": at(portReadiness), "app": at(portApp), "internal_ports.0": fmt.Sprint(portInternal),
 		"platform.address": front.Address,
@@ -285,7 +287,7 @@
 	at := func(port int) string { return fmt.Sprintf("%s:%d", beside.IP, port) }
 	return StartServer(ServerConfig{
 		ID: id, Service: service, Zone: beside.Zone, App: at(portApp), Outbound: at(portOutbound), Control: at(portControl),
-		Slots: d.Slots, Work: 20 * time.Millisecond, Heartbeat: heartbeatInterval, Cold: d.coldNow, Ahead: beside.Ahead,
+		Slots: d.Slots, Work: 20 * time.Millisecond, Heartbeat: d.Heartbeat, Cold: d.coldNow, Ahead: beside.Ahead,
 	}, d.Record)
 }
 
