Review: a cold server takes openings without limit after an evacuation its agent missed

Cause: an agent takes its server for cold after an evacuation only if it has seen the zone out of service; one that the store turned away meanwhile hasn't.

--- a/review/stand-3/case_agent_killed_cold.go
+++ b/review/stand-3/case_agent_killed_cold.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -52,7 +53,7 @@
 	}
 	d.TrafficStarts()
 	stop := make(chan struct{})
-	go openMany(d, client, route, loadPause, stop)
+	go openMany(d, client, route, "q", loadPause, new(atomic.Int64), stop)
 	newAgent, err := d.Agent("side-2", "desk")
 	if err != nil {
 		return false, err
@@ -81,8 +82,9 @@
 	return float64(most) > bound, nil
 }
 
-// openMany sends requests, each on a flow of its own, until stop is closed.
-func openMany(d *platform.Deployment, client *platform.Client, route netip.AddrPort, pause time.Duration, stop <-chan struct{}) {
+// openMany sends requests, each on a flow of its own, until stop is closed. It counts
+// the flows in use in busy.
+func openMany(d *platform.Deployment, client *platform.Client, route netip.AddrPort, prefix string, pause time.Duration, busy *atomic.Int64, stop <-chan struct{}) {
 	ticks := time.NewTicker(pause)
 	defer ticks.Stop()
 	for n := 1; ; n++ {
@@ -91,8 +93,10 @@
 			return
 		case <-ticks.C:
 		}
-		id := fmt.Sprintf("q%d", n)
+		id := fmt.Sprintf("%s-%d", prefix, n)
+		busy.Add(1)
 		go func() {
+			defer busy.Add(-1)
 			f, _ := client.Open(route)
 			if f == nil {
 				return
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*platform.Deployment, trouble) (bool, error){
 	"agent-killed-cold": agentKilledCold,
 	"clock-ahead":       clockAhead,
+	"evacuation-missed": evacuationMissed,
 }
 
 // trouble is "0" if the disruption is left out, "clock" or "roll" for one half of it.
