--- a/review/stand-3/case_agent_killed_cold.go
+++ b/review/stand-3/case_agent_killed_cold.go
@@ -17,10 +17,10 @@
 	leadTime = 10 * time.Second // traffic starts that long after the machines
 	deadline = 2 * time.Second
 
-	coldFor     = 3 * time.Second // cold_s
-	coldRate    = 20              // cold_per_s
-	coldOverage = 1.5             // cold_overage
-	coldSlack   = 5               // cold_slack
+	coldFor     = 3 * time.Second // time for which a server is cold
+	coldRate    = 20              // requests a second
+	coldOverage = 1.5             // factor of the rate
+	coldSlack   = 5               // added to it
 	loadPause   = 5 * time.Millisecond
 )
 
--- a/review/stand-3/case_evacuation_missed.go
+++ b/review/stand-3/case_evacuation_missed.go
@@ -11,8 +11,8 @@
 
 // Settings of the case.
 const (
-	returnColdFor  = 2 * time.Second // cold_s
-	returnColdRate = 4               // cold_per_s
+	returnColdFor  = 2 * time.Second // time for which a server is cold
+	returnColdRate = 4               // requests a second
 	evacuationTime = 4 * time.Second
 	// refusalLead is the time from the start of the refusals to the evacuation, and
 	// refusalRest that from the end of the evacuation to their end.
--- a/review/stand-3/platform/deployment.go
+++ b/review/stand-3/platform/deployment.go
@@ -133,7 +133,6 @@
 	mu       sync.Mutex
 	process  *os.Process
 	removed  bool
-	started  time.Time
 	exited   chan struct{}
 }
 
@@ -209,7 +208,7 @@
 		return err
 	}
 	n.mu.Lock()
-	n.process, n.started, n.exited = c.Process, time.Now(), make(chan struct{})
+	n.process, n.exited = c.Process, make(chan struct{})
 	exited := n.exited
 	n.mu.Unlock()
 	n.d.Record.Printf("process of %s starts", n.Name)
@@ -242,13 +241,6 @@
 	_ = n.process.Signal(s)
 }
 
-// Started returns when the process started last.
-func (n *Node) Started() time.Time {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.started
-}
-
 // Balancer starts a balancer and puts it into the routers' list.
 func (d *Deployment) Balancer(name string) (*Node, error) {
 	n, err := d.start("balancer", name, "", defaultZone)
@@ -291,12 +283,6 @@
 	}, d.Record)
 }
 
-// DirectClient opens a client machine whose packets go to one balancer.
-func (d *Deployment) DirectClient(to *Node) (*Client, error) {
-	r := &Router{entries: []*entry{{packets: netip.AddrPortFrom(to.IP, portData), in: true}}}
-	return NewClient(d.newIP(), portData, r, d.Record)
-}
-
 // Client opens a client machine.
 func (d *Deployment) Client() (*Client, error) {
 	return NewClient(d.newIP(), portData, d.Router, d.Record)
--- a/review/stand-3/platform/server.go
+++ b/review/stand-3/platform/server.go
@@ -21,7 +21,7 @@
 	maxResends  = 8
 )
 
-// Sum seals the answer to a request.
+// seal returns the seal of the answer to a request.
 func seal(id string) string { return "seal-" + id }
 
 // ServerConfig describes a server.
@@ -143,13 +143,6 @@
 	return append([]Opening(nil), s.openings...)
 }
 
-// Stop ends the server without a word, as a crash does.
-func (s *Server) Stop() {
-	s.stopped()
-	_ = s.conn.Close()
-	_ = s.health.Close()
-}
-
 // Drain makes the server report that it is draining.
 func (s *Server) Drain() {
 	s.draining.Store(true)
