--- a/review/stand-3/case_agent_killed_cold.go
+++ b/review/stand-3/case_agent_killed_cold.go
@@ -21,13 +21,14 @@
 	coldRate    = 20              // requests a second
 	coldOverage = 1.5             // factor of the rate
 	coldSlack   = 5               // added to it
+	manySlots   = 10              // more than a server of ksif-lb (2) or orw-lagos (5) has
 	loadPause   = 5 * time.Millisecond
 )
 
 // agentKilledCold replaces the server of a service by a new one, as a release does, and
 // kills the new server's agent once while the server is cold. It checks FAILBACK.
 func agentKilledCold(d *platform.Deployment, t trouble) (bool, error) {
-	d.ColdFor, d.ColdRate, d.Slots = coldFor, coldRate, 10
+	d.ColdFor, d.ColdRate, d.Slots = coldFor, coldRate, manySlots
 	route := d.Route(1)
 	d.Configure(15*time.Second, []string{"desk"}, platform.RouteConfig{Route: route, Service: "desk", Type: "unsafe"})
 	for n := 1; n <= 2; n++ {
--- a/review/stand-3/case_evacuation_missed.go
+++ b/review/stand-3/case_evacuation_missed.go
@@ -28,6 +28,7 @@
 // evacuationMissed empties a zone and takes it back while the store turns away the zone's
 // agent. The zone's server is cold at the end. It checks FAILBACK.
 func evacuationMissed(d *platform.Deployment, t trouble) (bool, error) {
+	d.Heartbeat = orwHeartbeat
 	d.ColdFor, d.ColdRate = returnColdFor, returnColdRate
 	route := d.Route(1)
 	d.Configure(15*time.Second, []string{"desk"}, platform.RouteConfig{Route: route, Service: "desk", Type: "unsafe"})
