--- a/review/stand-3/platform/server.go
+++ b/review/stand-3/platform/server.go
@@ -143,6 +143,14 @@
 	return append([]Opening(nil), s.openings...)
 }
 
+// Holds reports whether a client's flow is open at the server.
+func (s *Server) Holds(f *ClientFlow) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.flows[f.src][f.route]
+	return own != nil && own.open && !own.ended
+}
+
 // Drain makes the server report that it is draining.
 func (s *Server) Drain() {
 	s.draining.Store(true)
