--- a/review/stand-3/case_clock_ahead.go
+++ b/review/stand-3/case_clock_ahead.go
@@ -25,10 +25,12 @@
 	siteColdFor = 2 * time.Second
 	// oldServers is the number of servers, of which a release replaces one.
 	oldServers = 3
-	// openers is the number of clients' connections that are opened beside each other,
-	// flowsEach the number of flows that each opens, and openPause the time between them.
-	openers, flowsEach = 6, 10
-	openPause          = 60 * time.Millisecond
+	// openers is the number of users who open flows beside each other, openPause the time
+	// between two flows of each, and openUntil the time from the new server's start at
+	// which they end.
+	openers   = 10
+	openPause = 60 * time.Millisecond
+	openUntil = 1300 * time.Millisecond
 )
 
 // clockAhead replaces the server of a service by a new one, as a release does, whose
@@ -81,7 +83,7 @@
 	time.Sleep(100 * time.Millisecond)
 	servers[0].Drain()
 	time.Sleep(150 * time.Millisecond)
-	flows := openFlows(d, client, route)
+	flows := openFlows(d, client, route, born.Add(openUntil))
 	onNew := 0
 	for _, f := range flows {
 		if newServer.Holds(f) {
@@ -111,8 +113,8 @@
 }
 
 // openFlows opens flows of a route, some beside each other, and returns those on which a
-// first request was served and the server has not ended the flow since.
-func openFlows(d *platform.Deployment, client *platform.Client, route netip.AddrPort) []*platform.ClientFlow {
+// first request was served.
+func openFlows(d *platform.Deployment, client *platform.Client, route netip.AddrPort, until time.Time) []*platform.ClientFlow {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	var flows []*platform.ClientFlow
@@ -120,7 +122,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			for n := 1; n <= flowsEach; n++ {
+			for n := 1; time.Now().Before(until); n++ {
 				f, outcome := client.Open(route)
 				if f == nil {
 					d.Record.Printf("flow %d.%d doesn't open: %s", k, n, outcome)
